--- /dev/null
+++ b/assign/decide.go
@@ -0,0 +1,191 @@
+package assign
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/config"
+)
+
+// This file defines the decision as a whole: what it looks at and in which
+// order it goes on.
+
+const (
+	// absentBound is how long an instance may be missing from the platform's
+	// list before it counts as failed. The list lags.
+	absentBound = 30 * time.Second
+	// forgetBound is how long a failed instance that is missing is remembered.
+	forgetBound = 10 * time.Minute
+	// reportBound is how old an instance's report may be before its state
+	// counts as unknown.
+	reportBound = time.Minute
+)
+
+// A WaveOrder is a wave as an operator has it, and the version at which it was
+// last changed.
+type WaveOrder struct {
+	Wave    *config.Wave
+	Version pointport.Version
+}
+
+// An Input is everything that a decision looks at.
+type Input struct {
+	Now       time.Time
+	Zone      pointport.ZoneID
+	Zones     []pointport.ZoneID // every zone, in an order that all planners share
+	State     *State
+	Templates []*config.Template // with the parameters that are in force
+	Waves     []WaveOrder
+	// Listed is the platform's list for the zone.
+	Listed []pointport.Instance
+	// Quiet says for how long a draining instance has been seen to run nothing,
+	// by reports that came after its drain was told.
+	Quiet map[pointport.InstanceID]time.Duration
+	// Absent says since when an instance has been missing from the list.
+	Absent map[pointport.InstanceID]time.Time
+	// Share returns how many of a pool's instances in this zone may be out of
+	// service. The shares of all zones add up to the pool's budget at most.
+	Share func(t *config.Template) int
+}
+
+// A decision is a decision while it is made.
+type decision struct {
+	in     *Input
+	listed map[pointport.InstanceID]pointport.Instance
+	member map[pointport.InstanceID]Member
+	order  []pointport.InstanceID
+	steps  []Step
+	stepOf map[pointport.InstanceID]int
+	waves  map[string]Wave
+	pools  map[string]Pool
+	tpl    map[string]*config.Template
+}
+
+// Decide returns what to do next, without ID, version, author and time.
+func Decide(in Input) Change {
+	d := &decision{
+		in:     &in,
+		listed: make(map[pointport.InstanceID]pointport.Instance, len(in.Listed)),
+		member: make(map[pointport.InstanceID]Member, len(in.State.members)),
+		stepOf: make(map[pointport.InstanceID]int),
+		waves:  make(map[string]Wave),
+		pools:  make(map[string]Pool),
+		tpl:    make(map[string]*config.Template, len(in.Templates)),
+	}
+	for _, i := range in.Listed {
+		d.listed[i.ID] = i
+	}
+	for id, m := range in.State.members {
+		d.member[id] = m
+		d.order = append(d.order, id)
+	}
+	sort.Slice(d.order, func(a, b int) bool { return d.order[a] < d.order[b] })
+	for _, t := range in.Templates {
+		d.tpl[t.Name] = t
+	}
+	d.welcome()
+	d.observe()
+	d.releaseUnknown()
+	for _, t := range in.Templates {
+		d.size(t)
+	}
+	for _, t := range in.Templates {
+		d.maintain(t)
+	}
+	return d.change()
+}
+
+func (d *decision) change() Change {
+	c := Change{Steps: d.steps, Pools: d.pools}
+	names := make([]string, 0, len(d.waves))
+	for name := range d.waves {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		c.Waves = append(c.Waves, d.waves[name])
+	}
+	return c
+}
+
+// set takes a step. A member's second step in one decision joins its first.
+func (d *decision) set(m Member, format string, args ...any) {
+	reason := fmt.Sprintf(format, args...)
+	before, known := d.member[m.ID]
+	if m.Phase != before.Phase || !known {
+		m.Since = d.in.Now
+	}
+	d.member[m.ID] = m
+	if n, ok := d.stepOf[m.ID]; ok {
+		d.steps[n].After = &m
+		d.steps[n].Reason += "; " + reason
+		return
+	}
+	if !known {
+		d.order = append(d.order, m.ID)
+	}
+	d.stepOf[m.ID] = len(d.steps)
+	d.steps = append(d.steps, Step{Instance: m.ID, After: &m, From: describe(before), Reason: reason})
+}
+
+// forget removes a member.
+func (d *decision) forget(id pointport.InstanceID, reason string) {
+	d.steps = append(d.steps, Step{Instance: id, From: describe(d.member[id]), Reason: reason})
+	delete(d.member, id)
+}
+
+// describe names a member's phase and pool.
+func describe(m Member) string {
+	switch {
+	case m.ID == "":
+		return ""
+	case m.Pool == "":
+		return string(m.Phase)
+	}
+	return string(m.Phase) + " in " + m.Pool
+}
+
+// each calls do for every member, in the order of their names.
+func (d *decision) each(do func(Member)) {
+	for _, id := range d.order {
+		if m, ok := d.member[id]; ok {
+			do(m)
+		}
+	}
+}
+
+// in returns the members of a pool.
+func (d *decision) inPool(pool string) []Member {
+	var out []Member
+	d.each(func(m Member) {
+		if m.Pool == pool {
+			out = append(out, m)
+		}
+	})
+	return out
+}
+
+// works reports whether a member is known to take work now.
+func (d *decision) works(m Member) bool {
+	i, ok := d.listed[m.ID]
+	return m.Phase == Serving && ok && i.State == pointport.InstanceLive && d.in.Now.Sub(i.Reported) < reportBound
+}
+
+// wave returns how far a wave has come, as the decision has it.
+func (d *decision) wave(name string) (Wave, bool) {
+	if w, ok := d.waves[name]; ok {
+		return w, true
+	}
+	w, ok := d.in.State.waves[name]
+	return w, ok
+}
+
+// countWave adds to a wave's counts.
+func (d *decision) countWave(name string, add func(*Wave)) {
+	if w, ok := d.wave(name); ok {
+		add(&w)
+		d.waves[name] = w
+	}
+}
--- /dev/null
+++ b/assign/explain.go
@@ -0,0 +1,117 @@
+package assign
+
+import (
+	"fmt"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/config"
+)
+
+// This file defines explanations: the facts that a decision goes by, and what
+// would change it.
+
+// An Explanation says how something stands, from which facts, and what would
+// change it.
+type Explanation struct {
+	Subject string   `json:"subject"`
+	Stands  string   `json:"stands"`
+	Facts   []string `json:"facts,omitempty"`
+	Next    []string `json:"next,omitempty"`
+}
+
+func (e *Explanation) fact(format string, args ...any) {
+	e.Facts = append(e.Facts, fmt.Sprintf(format, args...))
+}
+
+func (e *Explanation) next(format string, args ...any) {
+	e.Next = append(e.Next, fmt.Sprintf(format, args...))
+}
+
+// ExplainInstance explains a member.
+func ExplainInstance(m Member, t *config.Template) Explanation {
+	e := Explanation{Subject: "instance " + string(m.ID), Stands: describe(m)}
+	e.fact("in this phase since %s", m.Since.UTC().Format("2006-01-02T15:04:05Z"))
+	e.fact("last maintained, or first seen, at %s", m.Maintained.UTC().Format("2006-01-02T15:04:05Z"))
+	e.fact("boots seen: %d; rack %s; address %s", m.Boots, m.Rack, m.Address)
+	b := noTemplate
+	if t != nil {
+		b = t.Maintenance
+	}
+	switch m.Phase {
+	case Spare:
+		e.next("a pool in zone %s that has fewer instances than it needs takes it", m.Zone)
+	case Serving:
+		e.next("a wave takes it when its turn comes and the budget allows")
+		e.next("its pool gives it up when it has more than it needs, and another needs it or keeping it costs more than a move")
+	case Draining:
+		e.next("it goes on once it has been seen to run nothing for %v", b.DrainQuiet)
+		e.next("it is put back to work if that does not happen within %v", b.DrainBound)
+	case Rebooting:
+		e.next("it serves again once the platform lists it as live with more than %d boots", m.Boots)
+		e.next("it counts as failed after %v", b.ReturnBound)
+	case Failed:
+		e.next("it is used again once the platform lists it as live")
+		e.next("it is forgotten once it has been missing from the list for %v", forgetBound)
+	}
+	return e
+}
+
+// ExplainPool explains how a pool stands in a zone.
+func ExplainPool(s *State, t *config.Template, zones []pointport.ZoneID, zone pointport.ZoneID, share int) Explanation {
+	phases := make(map[Phase]int)
+	for _, m := range s.Members() {
+		if m.Pool == t.Name {
+			phases[m.Phase]++
+		}
+	}
+	size, spare := ZoneSize(t, zones, zone), ZoneSpare(t, zones, zone)
+	e := Explanation{Subject: fmt.Sprintf("pool %s in zone %s", t.Name, zone)}
+	e.Stands = fmt.Sprintf("%d serving of %d needed and %d spare", phases[Serving], size, spare)
+	e.fact("template: size %d over %d zones, spare %s, budget %s, wave speed %s", t.Pool.Size, len(zones), t.Pool.Spare, t.Maintenance.Budget, t.Maintenance.Speed)
+	e.fact("this zone's share of the budget is %d", share)
+	e.fact("draining %d, rebooting %d, failed %d", phases[Draining], phases[Rebooting], phases[Failed])
+	room := phases[Serving] - (size - share)
+	e.fact("%d more may go out of service now, if all that serve are seen to work", max(0, room))
+	if missing := size + spare - phases[Serving] - phases[Draining] - phases[Rebooting]; missing > 0 {
+		e.next("%d more are taken as spare instances of a fitting shape appear in the zone", missing)
+	}
+	if surplus := phases[Serving] - size - spare; surplus > 0 {
+		e.next("%d may go to pools that need them, or after %v of surplus", surplus, keepSurplus(t))
+	}
+	if room <= 0 {
+		e.next("no wave or move takes an instance until one comes back, the spare grows or the budget does")
+	}
+	return e
+}
+
+// ExplainWave explains how a wave stands in a zone.
+func ExplainWave(s *State, w Wave) Explanation {
+	left, under := 0, 0
+	for _, m := range s.Members() {
+		switch {
+		case m.Pool != w.Pool:
+		case m.Wave == w.Name:
+			under++
+		case m.Maintained.Before(w.Started) && m.Passed != w.Name && m.Phase != Failed:
+			left++
+		}
+	}
+	e := Explanation{Subject: "wave " + w.Name}
+	e.fact("started %s over pool %s", w.Started.UTC().Format("2006-01-02T15:04:05Z"), w.Pool)
+	e.fact("done %d, under way %d, left %d, failed %d, passed by %d", w.Done, under, left, w.FailedCount, w.PassedCount)
+	switch {
+	case w.Stopped != "":
+		e.Stands = "stopped itself: " + w.Stopped
+		e.next("it goes on when an operator applies it again")
+	case !w.Ended.IsZero():
+		e.Stands = "ended " + w.Ended.UTC().Format("2006-01-02T15:04:05Z")
+	case under > 0:
+		e.Stands = fmt.Sprintf("waits for %d instances to drain or come back", under)
+	case left > 0:
+		e.Stands = "waits for budget: too few instances of the pool work"
+		e.next("it takes the next instance when one comes back, the spare grows or the budget does")
+	default:
+		e.Stands = "has nothing left to do"
+	}
+	return e
+}
--- /dev/null
+++ b/changelog/append.go
@@ -0,0 +1,226 @@
+package changelog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/event"
+)
+
+// This file defines how a change is appended, settled and compacted.
+
+// An UnsettledError says that a change may or may not be in force. Proposing
+// the same ID again settles it.
+type UnsettledError struct {
+	ID  string // the change
+	Err error  // what came last
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("change %s may or may not be in force; propose the same ID again to settle it: %v", e.ID, e.Err)
+}
+
+// Unwrap returns what came last.
+func (e *UnsettledError) Unwrap() error { return e.Err }
+
+// Append makes a change. The prepare function is given the newest state and
+// returns the change called id for its next version, or an error that ends the
+// attempt; it may be called more than once. If a change called id was made
+// before and is still in reach, that one is returned and nothing is changed.
+//
+// Append fails with prepare's error, with an *UnsettledError, or with an
+// *pointport.UnavailableError if nothing was changed.
+func (g *Log[S, C]) Append(ctx context.Context, id string, prepare func(S) (C, error)) (C, error) {
+	var none C
+	unsettled := false
+	for {
+		t, done, err := g.find(ctx, id)
+		if err != nil {
+			return none, settle(unsettled, id, err)
+		}
+		if done != nil {
+			if unsettled {
+				event.ChangeSettled.Log(g.logger, slog.String("change", id), slog.Int64("version", int64((*done).ChangeVersion())))
+			}
+			g.apply(t.state)
+			return *done, nil
+		}
+		c, err := prepare(t.state)
+		if err != nil {
+			return none, err
+		}
+		next, err := t.state.Apply(c)
+		if err != nil {
+			return none, err
+		}
+		err = g.write(ctx, t, c)
+		var conflict *pointport.ConflictError
+		switch {
+		case err == nil:
+			g.apply(next)
+			g.maybeCompact(ctx, t, next)
+			return c, nil
+		case errors.As(err, &conflict):
+			// Another author was first, or an earlier write of this very
+			// change was. Reading again tells which.
+		case ambiguous(err):
+			// The loop reads back. If the change is not there, the same
+			// revision is written again, so a late first write must fail.
+			unsettled = true
+		default:
+			return none, settle(unsettled, id, err)
+		}
+		if ctx.Err() != nil {
+			return none, settle(unsettled, id, ctx.Err())
+		}
+	}
+}
+
+func settle(unsettled bool, id string, err error) error {
+	if unsettled {
+		return &UnsettledError{id, err}
+	}
+	return err
+}
+
+// find reads the log and looks for the change called id near its end.
+func (g *Log[S, C]) find(ctx context.Context, id string) (*tail[S, C], *C, error) {
+	t, err := g.load(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if c := lookFor(t.changes, id); c != nil {
+		return t, c, nil
+	}
+	// The change may have filled its segment, or others may have since.
+	for n := t.number - 1; n >= 1 && n >= t.number-settleSegments; n-- {
+		e, err := g.store.Get(ctx, g.segmentKey(n))
+		if err != nil {
+			return nil, nil, err
+		}
+		if !e.Exists() {
+			break
+		}
+		changes, err := decodeSegment[C](e)
+		if err != nil {
+			return nil, nil, err
+		}
+		if c := lookFor(changes, id); c != nil {
+			return t, c, nil
+		}
+	}
+	return t, nil, nil
+}
+
+// settleSegments is how many sealed segments are searched for a change whose
+// answer was lost.
+const settleSegments = 4
+
+func lookFor[C Change](changes []C, id string) *C {
+	for i := range changes {
+		if changes[i].ChangeID() == id {
+			return &changes[i]
+		}
+	}
+	return nil
+}
+
+func (g *Log[S, C]) write(ctx context.Context, t *tail[S, C], c C) error {
+	changes := append(append([]C(nil), t.changes...), c)
+	data, err := json.Marshal(segment[C]{changes})
+	if err != nil {
+		return err
+	}
+	_, err = g.store.CompareAndSwap(ctx, g.segmentKey(t.number), t.revision, data)
+	return err
+}
+
+// maybeCompact writes a snapshot when enough segments have been sealed since
+// the last. It may fail or race: the next author tries again.
+func (g *Log[S, C]) maybeCompact(ctx context.Context, t *tail[S, C], state S) {
+	sealed := len(t.changes)+1 >= g.segmentSize
+	if !sealed || t.number%g.snapshotEvery != 0 {
+		return
+	}
+	if err := g.compact(ctx, t.number+1, state); err != nil {
+		event.LogCut.Log(g.logger, slog.Any("error", err))
+		return
+	}
+	event.LogCompacted.Log(g.logger, slog.Int64("next", t.number+1))
+}
+
+// compact writes a snapshot of state, which holds all segments before next,
+// and removes segments past the retention.
+func (g *Log[S, C]) compact(ctx context.Context, next int64, state S) error {
+	old, rev, err := g.readSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if old.Next >= next {
+		return nil
+	}
+	oldest := max(old.Oldest, min(next-g.retention, old.Oldest+removeAtOnce))
+	data, err := json.Marshal(snapshot[S]{State: state, Next: next, Oldest: oldest})
+	if err != nil {
+		return err
+	}
+	if _, err := g.store.CompareAndSwap(ctx, g.snapshotKey(), rev, data); err != nil {
+		return err
+	}
+	return g.remove(ctx, old.Oldest, oldest)
+}
+
+// remove deletes the segments from first up to, not including, end.
+func (g *Log[S, C]) remove(ctx context.Context, first, end int64) error {
+	for n := first; n < end; n++ {
+		e, err := g.store.Get(ctx, g.segmentKey(n))
+		if err != nil {
+			return err
+		}
+		if !e.Exists() {
+			continue
+		}
+		if err := g.store.Delete(ctx, g.segmentKey(n), e.Revision()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// History returns the changes that keep accepts, newest first, at most limit.
+// It reads backwards through the segments that are still kept.
+func (g *Log[S, C]) History(ctx context.Context, limit int, keep func(C) bool) ([]C, error) {
+	t, err := g.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []C
+	changes := t.changes
+	for n := t.number; n >= 1; n-- {
+		if n != t.number {
+			e, err := g.store.Get(ctx, g.segmentKey(n))
+			if err != nil {
+				return nil, err
+			}
+			if !e.Exists() {
+				break
+			}
+			if changes, err = decodeSegment[C](e); err != nil {
+				return nil, err
+			}
+		}
+		for i := len(changes) - 1; i >= 0; i-- {
+			if !keep(changes[i]) {
+				continue
+			}
+			if out = append(out, changes[i]); len(out) >= limit {
+				return out, nil
+			}
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,82 @@
+// Package clock implements pointport.Clock: System by the machine's clock, and
+// Fake by a clock that moves only when it is told to.
+package clock
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// System is the machine's clock.
+type System struct{}
+
+var _ pointport.Clock = System{}
+
+// Now returns the machine's time.
+func (System) Now() time.Time { return time.Now() }
+
+// After returns a channel that receives the time once, d from now.
+func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// A Fake is a clock that moves only by Advance. It is safe for concurrent use.
+type Fake struct {
+	mu     sync.Mutex
+	now    time.Time
+	alarms []alarm
+}
+
+type alarm struct {
+	at time.Time
+	c  chan time.Time
+}
+
+var _ pointport.Clock = (*Fake)(nil)
+
+// NewFake returns a clock that shows now.
+func NewFake(now time.Time) *Fake { return &Fake{now: now} }
+
+// Now returns the time that the clock shows.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// After returns a channel that receives the time once the clock has been
+// advanced by d.
+func (f *Fake) After(d time.Duration) <-chan time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := make(chan time.Time, 1)
+	if d <= 0 {
+		c <- f.now
+		return c
+	}
+	f.alarms = append(f.alarms, alarm{f.now.Add(d), c})
+	return c
+}
+
+// Advance moves the clock by d and wakes whoever waits for a time up to then.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	left := f.alarms[:0]
+	for _, a := range f.alarms {
+		if a.at.After(f.now) {
+			left = append(left, a)
+			continue
+		}
+		a.c <- f.now
+	}
+	f.alarms = left
+}
+
+// Waiting returns how many callers wait for the clock to move.
+func (f *Fake) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.alarms)
+}
--- /dev/null
+++ b/config/units.go
@@ -0,0 +1,226 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// This file defines the values with a unit: durations and fractions.
+
+// A Duration is a length of time in a document, written with its unit, such as
+// "250ms". What cannot be read is kept, so that the check can name the field.
+type Duration struct {
+	raw   string
+	value time.Duration
+	bad   bool
+}
+
+// Of returns the Duration of d.
+func Of(d time.Duration) Duration { return Duration{raw: d.String(), value: d} }
+
+// D returns the length of time.
+func (d Duration) D() time.Duration { return d.value }
+
+// String returns the value as it was written.
+func (d Duration) String() string { return d.raw }
+
+// UnmarshalJSON reads a duration. It never fails; see Duration.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		*d = Duration{raw: string(data), bad: true}
+		return nil
+	}
+	v, err := time.ParseDuration(s)
+	*d = Duration{raw: s, value: v, bad: err != nil}
+	return nil
+}
+
+// MarshalJSON writes the duration as it was read.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	if d.raw == "" {
+		return json.Marshal(d.value.String())
+	}
+	return json.Marshal(d.raw)
+}
+
+// IsZero reports whether the duration is absent or zero.
+func (d Duration) IsZero() bool { return d.value == 0 && !d.bad }
+
+// A Count is a number of instances, written whole ("3") or as a part of a pool
+// ("10%"). What cannot be read is kept, so that the check can name the field.
+type Count struct {
+	raw     string
+	whole   int
+	percent float64
+	bad     bool
+}
+
+// Whole returns the Count of n instances.
+func Whole(n int) Count { return Count{raw: strconv.Itoa(n), whole: n} }
+
+// Percent returns the Count of p hundredths of a pool.
+func Percent(p float64) Count {
+	return Count{raw: strconv.FormatFloat(p, 'g', -1, 64) + "%", percent: p}
+}
+
+// parseCount reads a Count.
+func parseCount(s string) Count {
+	if p, ok := strings.CutSuffix(s, "%"); ok {
+		v, err := strconv.ParseFloat(p, 64)
+		return Count{raw: s, percent: v, bad: err != nil}
+	}
+	n, err := strconv.Atoi(s)
+	return Count{raw: s, whole: n, bad: err != nil}
+}
+
+// Down returns the count for a pool of size instances, rounded down.
+func (c Count) Down(size int) int { return c.whole + int(c.percent*float64(size)/100) }
+
+// Up returns the count for a pool of size instances, rounded up.
+func (c Count) Up(size int) int {
+	part := c.percent * float64(size) / 100
+	n := int(part)
+	if float64(n) < part {
+		n++
+	}
+	return c.whole + n
+}
+
+// String returns the value as it was written.
+func (c Count) String() string { return c.raw }
+
+// IsZero reports whether the count is absent.
+func (c Count) IsZero() bool { return c.raw == "" }
+
+// UnmarshalJSON reads a count. It never fails; see Count.
+func (c *Count) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err == nil {
+		*c = parseCount(s)
+		return nil
+	}
+	*c = parseCount(string(data))
+	return nil
+}
+
+// MarshalJSON writes the count as it was read.
+func (c Count) MarshalJSON() ([]byte, error) { return json.Marshal(c.raw) }
+
+// A FieldError says which field of which document is wrong, and how.
+type FieldError struct {
+	Source string // the file or the request that held the document
+	Field  string // the path of the field, such as "routes[0].timeout"
+	Value  string // the value as it was written
+	Reason string // what is wrong with it
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s: %q: %s", e.Source, e.Field, e.Value, e.Reason)
+}
+
+// A CheckError holds every field that is wrong.
+type CheckError struct {
+	Fields []*FieldError
+}
+
+func (e *CheckError) Error() string {
+	lines := make([]string, len(e.Fields))
+	for i, f := range e.Fields {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the fields' errors.
+func (e *CheckError) Unwrap() []error {
+	errs := make([]error, len(e.Fields))
+	for i, f := range e.Fields {
+		errs[i] = f
+	}
+	return errs
+}
+
+// A checker gathers what is wrong with one document.
+type checker struct {
+	source string
+	fields []*FieldError
+}
+
+func (c *checker) fail(field, value, format string, args ...any) {
+	c.fields = append(c.fields, &FieldError{c.source, field, value, fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) name(field, value string) {
+	if value == "" {
+		c.fail(field, value, "must not be empty")
+		return
+	}
+	if len(value) > maxName {
+		c.fail(field, value, "must not be longer than %d bytes", maxName)
+		return
+	}
+	for _, r := range value {
+		if !isNameRune(r) {
+			c.fail(field, value, "may hold only a-z, 0-9, '-' and '.'")
+			return
+		}
+	}
+}
+
+const maxName = 63
+
+func isNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '.'
+}
+
+func (c *checker) between(field string, value, low, high int) {
+	if value < low || value > high {
+		c.fail(field, strconv.Itoa(value), "must be from %d to %d", low, high)
+	}
+}
+
+func (c *checker) ratio(field string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		c.fail(field, strconv.FormatFloat(value, 'g', -1, 64), "must be from %g to %g", low, high)
+	}
+}
+
+func (c *checker) duration(field string, value Duration, low, high time.Duration) {
+	switch {
+	case value.bad:
+		c.fail(field, value.raw, "must be a duration with its unit, such as \"250ms\"")
+	case value.value < low || value.value > high:
+		c.fail(field, value.raw, "must be from %v to %v", low, high)
+	}
+}
+
+func (c *checker) count(field string, value Count) {
+	switch {
+	case value.bad:
+		c.fail(field, value.raw, "must be a whole number of instances or a part of the pool, such as \"3\" or \"10%%\"")
+	case value.whole < 0 || value.whole > maxPool:
+		c.fail(field, value.raw, "must be from 0 to %d", maxPool)
+	case !(value.percent >= 0 && value.percent <= 100):
+		c.fail(field, value.raw, "must be from 0%% to 100%%")
+	}
+}
+
+func (c *checker) oneOf(field, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	c.fail(field, value, "must be one of %s", strings.Join(allowed, ", "))
+}
+
+func (c *checker) err() error {
+	if len(c.fields) == 0 {
+		return nil
+	}
+	return &CheckError{c.fields}
+}
--- /dev/null
+++ b/daemon/embedded.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/command"
+	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/standin"
+)
+
+// This file defines the embedded default: a stand-in platform and instances in
+// the same process, for a first try.
+
+// startEmbedded starts the stand-in and returns the platform's URL.
+func startEmbedded(ctx context.Context, s *Settings, logger *slog.Logger) (string, error) {
+	zones := make([]pointport.ZoneID, len(s.zones))
+	for i, z := range s.zones {
+		zones[i] = pointport.ZoneID(z)
+	}
+	fleet, err := standin.NewFleet(clock.System{}, standin.WithZones(s.demoInstances, zones...))
+	if err != nil {
+		return "", merry.Prepend(err, "embedded instances")
+	}
+	p := standin.NewPlatform(memory.New(clock.System{}), fleet)
+	addr, err := p.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return "", merry.Prepend(err, "embedded platform")
+	}
+	logger.Info("embedded stand-in", slog.String("platform", "http://"+addr.String()), slog.Int("instances", len(fleet.All())))
+	return "http://" + addr.String(), nil
+}
+
+// demo is the template that the embedded default begins with.
+const demo = `
+kind: Template
+name: hello
+routes:
+  - pathPrefix: /hello
+    repeatable: true
+    timeout: 5s
+  - pathPrefix: /payout
+    methods: [POST]
+    requireKey: true
+    timeout: 10s
+pool:
+  size: 4
+  spread: [zone, rack]
+maintenance:
+  budget: "50%"
+  drainQuiet: 1s
+`
+
+// seed gives the embedded default its template, so that a first request has
+// somewhere to go.
+func (e *Entry) seed(ctx context.Context) error {
+	objects, err := config.Parse("embedded template", []byte(demo))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	for i := range objects {
+		_, err := command.Configure(ctx, e.configs, e.clock, command.Proposal{
+			Author: Embedded, Reason: "so that a first request has somewhere to go", Object: &objects[i],
+		})
+		if err != nil {
+			return merry.Prepend(err, "embedded template")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/service.go
@@ -0,0 +1,501 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/choose"
+	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/queue"
+)
+
+// This file defines the service: its upstreams, who gets one and who waits.
+
+const (
+	// serviceWeight is the weight of a new sample in the service's latency.
+	serviceWeight = 0.05
+	// capacityAge is how long a computed capacity stays good.
+	capacityAge = 100 * time.Millisecond
+	// retryFloor is how many retries may be saved up, and what a service
+	// starts with.
+	retryFloor = 10
+	// retryAfterEmpty is what callers are told when no upstream is known.
+	retryAfterEmpty = 2 * time.Second
+	// minRetryAfter is the least that callers are told to wait.
+	minRetryAfter = time.Second
+)
+
+// A Reason says why a request was refused before it was sent.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	ReasonNoUpstream Reason = "no upstream of the service is in use"
+	ReasonQueueFull  Reason = "too many requests wait"
+	ReasonTooLate    Reason = "the request could not end before its deadline"
+	ReasonDeadline   Reason = "the request's deadline came while it waited"
+	ReasonGone       Reason = "the caller has gone"
+)
+
+// A RefusedError says that a request was refused before any byte of it was
+// sent. It comes from Acquire.
+type RefusedError struct {
+	Service    string
+	Reason     Reason
+	RetryAfter time.Duration // when it makes sense to ask again; zero if never
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("service %s: %s", e.Service, e.Reason)
+}
+
+// A Request is what Acquire needs to know.
+type Request struct {
+	Customer string
+	Weight   float64 // the customer's share against others'; zero counts as one
+	Priority config.Priority
+	Deadline time.Time
+	// Avoid names upstreams that have already failed this request. They are
+	// used only if no other has room.
+	Avoid []pointport.InstanceID
+}
+
+// An Outcome says how a granted request went.
+type Outcome int
+
+// The outcomes of a granted request.
+const (
+	Succeeded Outcome = iota // the upstream answered
+	Failed                   // the upstream failed
+	NotRun                   // the upstream said that it did not run the request
+	Abandoned                // nothing can be said about the upstream
+)
+
+// A Target is an instance that the service may use.
+type Target struct {
+	Instance pointport.Instance
+	Leaving  bool // no new work, but what is in flight goes on
+}
+
+// A Service spreads requests over upstreams. It is safe for concurrent use.
+type Service struct {
+	name    string
+	clock   pointport.Clock
+	chooser pointport.Chooser
+	zone    pointport.ZoneID
+	share   func(pointport.ZoneID) int
+	logger  *slog.Logger
+
+	mu         sync.Mutex
+	template   *config.Template
+	byID       map[pointport.InstanceID]*upstream
+	own, other []*upstream
+	waiting    queue.Fair[*waiter]
+	latency    time.Duration
+	retries    float64
+	capacity   float64
+	capacityAt time.Time
+}
+
+// A waiter is a request in the queue.
+type waiter struct {
+	request Request
+	result  chan result // holds one
+}
+
+type result struct {
+	grant *Grant
+	err   error
+}
+
+// An Option changes a Service.
+type Option func(*Service)
+
+// WithChooser sets the choice among upstreams.
+func WithChooser(c pointport.Chooser) Option { return func(s *Service) { s.chooser = c } }
+
+// WithZone sets the availability zone of this entry instance.
+func WithZone(z pointport.ZoneID) Option { return func(s *Service) { s.zone = z } }
+
+// WithShare sets how many connections this entry instance may have to one
+// upstream of an availability zone.
+func WithShare(share func(pointport.ZoneID) int) Option { return func(s *Service) { s.share = share } }
+
+// WithLogger sets where events go.
+func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.logger = l } }
+
+// New returns a service without upstreams.
+func New(name string, clock pointport.Clock, template *config.Template, options ...Option) *Service {
+	s := &Service{
+		name: name, clock: clock, chooser: choose.Forecast{}, template: template,
+		share:   func(pointport.ZoneID) int { return template.Upstream.Connections },
+		logger:  slog.New(slog.DiscardHandler),
+		byID:    make(map[pointport.InstanceID]*upstream),
+		retries: retryFloor,
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Update replaces the service's template and upstreams. What is known of an
+// upstream is kept while its address and boots stay the same.
+func (s *Service) Update(template *config.Template, targets []Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.template = template
+	old := s.byID
+	s.byID = make(map[pointport.InstanceID]*upstream, len(targets))
+	s.own, s.other = nil, nil
+	for _, t := range targets {
+		s.add(old[t.Instance.ID], t)
+	}
+	s.capacityAt = time.Time{}
+	s.serveWaiting()
+}
+
+func (s *Service) add(u *upstream, t Target) {
+	if u == nil || u.instance.Address != t.Instance.Address || u.instance.Boots != t.Instance.Boots {
+		u = newUpstream(t.Instance, t.Instance.Zone == s.zone, s.template)
+	}
+	// A sign of leaving stays until the instance has booted again, because the
+	// platform's list lags behind it.
+	u.leaving = u.leaving || t.Leaving
+	s.byID[t.Instance.ID] = u
+	if u.ownZone {
+		s.own = append(s.own, u)
+		return
+	}
+	s.other = append(s.other, u)
+}
+
+// Leave marks an upstream as leaving. It gets no new work.
+func (s *Service) Leave(id pointport.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.byID[id]; u != nil && !u.leaving {
+		u.leaving = true
+		event.UpstreamLeaving.Log(s.logger, slog.String("service", s.name), slog.String("instance", string(id)))
+	}
+}
+
+// Acquire grants an upstream to r, at once or after its turn in the queue. It
+// fails with a *RefusedError.
+func (s *Service) Acquire(ctx context.Context, r Request) (*Grant, error) {
+	if r.Weight == 0 {
+		r.Weight = 1
+	}
+	s.mu.Lock()
+	if s.waiting.Len() == 0 {
+		if u := s.pick(r.Avoid); u != nil {
+			defer s.mu.Unlock()
+			return s.grant(u), nil
+		}
+	}
+	if err := s.admit(r); err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{request: r, result: make(chan result, 1)}
+	it := s.waiting.Push(w, r.Priority, r.Customer, r.Weight, 1)
+	// The last moment at which the request could still end in time.
+	patience := r.Deadline.Sub(s.clock.Now()) - s.latency
+	s.mu.Unlock()
+	return s.wait(ctx, w, it, patience)
+}
+
+// admit decides whether r may wait.
+func (s *Service) admit(r Request) error {
+	if !s.usable() {
+		return &RefusedError{s.name, ReasonNoUpstream, retryAfterEmpty}
+	}
+	forecast := s.forecast(r)
+	if s.clock.Now().Add(forecast + s.latency).After(r.Deadline) {
+		return &RefusedError{s.name, ReasonTooLate, retryAfter(forecast)}
+	}
+	if s.waiting.Len() < s.template.Queue {
+		return nil
+	}
+	// A full queue gives up what would be served last, which is never the
+	// turn of a customer that asks for less than its share.
+	last := s.waiting.Last()
+	if !s.waiting.Before(r.Priority, r.Customer, last) {
+		return &RefusedError{s.name, ReasonQueueFull, retryAfter(forecast)}
+	}
+	s.waiting.Remove(last)
+	last.Value().result <- result{err: &RefusedError{s.name, ReasonQueueFull, retryAfter(forecast)}}
+	return nil
+}
+
+// retryAfter is when a caller should ask again after a refusal: once what
+// waits now has been served, spread a little so that callers don't come back
+// together.
+func retryAfter(forecast time.Duration) time.Duration {
+	d := max(forecast, minRetryAfter)
+	return d + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+// usable reports whether any upstream may get work, now or after its ejection.
+func (s *Service) usable() bool {
+	for _, u := range s.byID {
+		if !u.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// forecast returns how long a new request would wait.
+func (s *Service) forecast(r Request) time.Duration {
+	now := s.clock.Now()
+	if now.Sub(s.capacityAt) >= capacityAge {
+		s.capacity, s.capacityAt = s.countCapacity(now), now
+	}
+	if s.capacity == 0 || s.latency == 0 {
+		return 0
+	}
+	ahead := s.waiting.Ahead(r.Priority, r.Customer)
+	return time.Duration(float64(ahead) * float64(s.latency) / s.capacity)
+}
+
+// countCapacity returns how many requests may be in flight at once.
+func (s *Service) countCapacity(now time.Time) float64 {
+	n := 0
+	for _, u := range s.byID {
+		n += max(0, u.room(now, s.template.Upstream.Slots, s.share(u.instance.Zone))+u.inFlight)
+	}
+	return float64(n)
+}
+
+func (s *Service) wait(ctx context.Context, w *waiter, it *queue.Item[*waiter], patience time.Duration) (*Grant, error) {
+	reason := ReasonGone
+	select {
+	case r := <-w.result:
+		return r.grant, r.err
+	case <-ctx.Done():
+	case <-s.clock.After(patience):
+		reason = ReasonDeadline
+	}
+	s.mu.Lock()
+	if s.waiting.Remove(it) {
+		err := &RefusedError{s.name, reason, retryAfter(s.forecast(w.request))}
+		s.mu.Unlock()
+		return nil, err
+	}
+	s.mu.Unlock()
+	r := <-w.result
+	if r.grant != nil && reason == ReasonGone {
+		r.grant.End(Abandoned, 0)
+		return nil, &RefusedError{s.name, reason, 0}
+	}
+	return r.grant, r.err
+}
+
+// pick returns an upstream with room, or nil. It looks at two by chance and
+// takes the better, in its own availability zone while that has room.
+func (s *Service) pick(avoid []pointport.InstanceID) *upstream {
+	if all, ok := s.chooser.(pointport.Unlimited); ok {
+		return s.pickNext(all)
+	}
+	for _, group := range [][]*upstream{s.own, s.other} {
+		if u := s.pickFrom(group, avoid); u != nil {
+			return u
+		}
+	}
+	if len(avoid) > 0 {
+		return s.pick(nil)
+	}
+	return nil
+}
+
+func (s *Service) pickFrom(group []*upstream, avoid []pointport.InstanceID) *upstream {
+	if len(group) == 0 {
+		return nil
+	}
+	now := s.clock.Now()
+	share := s.share(group[0].instance.Zone)
+	var first *upstream
+	offset := rand.IntN(len(group))
+	for n := range group {
+		u := group[(offset+n)%len(group)]
+		if u.instance.Zone != group[0].instance.Zone {
+			share = s.share(u.instance.Zone)
+		}
+		if slices.Contains(avoid, u.instance.ID) || u.room(now, s.template.Upstream.Slots, share) <= 0 {
+			continue
+		}
+		if first == nil {
+			first = u
+			continue
+		}
+		if s.chooser.Better(u.candidate(), first.candidate()) {
+			return u
+		}
+		return first
+	}
+	return first
+}
+
+// pickNext ignores every limit but the sign of leaving.
+func (s *Service) pickNext(all pointport.Unlimited) *upstream {
+	group := slices.Concat(s.own, s.other)
+	for range group {
+		if u := group[all.Next(len(group))]; !u.leaving {
+			return u
+		}
+	}
+	return nil
+}
+
+func (s *Service) grant(u *upstream) *Grant {
+	u.inFlight++
+	return &Grant{service: s, upstream: u, at: s.clock.Now()}
+}
+
+// serveWaiting grants upstreams to waiting requests while there is room.
+func (s *Service) serveWaiting() {
+	for s.waiting.Len() > 0 && s.pick(nil) != nil {
+		w := s.waiting.Pop().Value()
+		w.result <- result{grant: s.grant(s.pick(w.request.Avoid))}
+	}
+}
+
+// TakeRetry reports whether the service's budget allows one more retry, and
+// spends it.
+func (s *Service) TakeRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retries < 1 {
+		return false
+	}
+	s.retries--
+	return true
+}
+
+// A Grant is the right to send one request to one upstream.
+type Grant struct {
+	service  *Service
+	upstream *upstream
+	at       time.Time
+	ended    bool
+}
+
+// Instance returns the upstream.
+func (g *Grant) Instance() pointport.Instance { return g.upstream.instance }
+
+// End gives the upstream back and says how the request went. A latency of zero
+// means the time since the grant. Ending twice changes nothing.
+func (g *Grant) End(o Outcome, latency time.Duration) {
+	s := g.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
+	now := s.clock.Now()
+	if latency == 0 {
+		latency = now.Sub(g.at)
+	}
+	g.upstream.inFlight--
+	s.learn(g.upstream, o, now, latency)
+	s.serveWaiting()
+}
+
+func (s *Service) learn(u *upstream, o Outcome, now time.Time, latency time.Duration) {
+	switch o {
+	case Succeeded:
+		if !u.until.IsZero() {
+			event.UpstreamRestored.Log(s.logger, slog.String("service", s.name), slog.String("instance", string(u.instance.ID)))
+		}
+		u.succeed(now, latency, s.template.Upstream.Slots)
+		s.latency = blend(s.latency, latency, serviceWeight)
+		s.retries = min(s.retries+s.template.Retry.Ratio, retryFloor)
+	case NotRun:
+		u.refuse(now)
+	case Failed:
+		if u.fail(latency, s.latency, s.template.Ejection.Failures) && s.mayEject(u, now) {
+			d := u.eject(now, s.template.Ejection.For.D())
+			event.UpstreamEjected.Log(s.logger, slog.String("service", s.name),
+				slog.String("instance", string(u.instance.ID)), slog.Duration("for", d))
+		}
+	}
+}
+
+// mayEject reports whether one more upstream may be ejected.
+func (s *Service) mayEject(u *upstream, now time.Time) bool {
+	if !u.until.IsZero() {
+		return true
+	}
+	ejected := 1
+	for _, v := range s.byID {
+		if now.Before(v.until) {
+			ejected++
+		}
+	}
+	return float64(ejected) <= s.template.Ejection.Most*float64(len(s.byID))
+}
+
+// An UpstreamStatus is what a query shows of one upstream.
+type UpstreamStatus struct {
+	Instance pointport.InstanceID `json:"instance"`
+	Zone     pointport.ZoneID     `json:"zone"`
+	InFlight int                  `json:"inFlight"`
+	Limit    float64              `json:"limit"`
+	Latency  time.Duration        `json:"latency"` // in nanoseconds
+	Leaving  bool                 `json:"leaving"`
+	Ejected  bool                 `json:"ejected"`
+	Served   int64                `json:"served"`
+	Failed   int64                `json:"failed"`
+	Refused  int64                `json:"refused"`
+}
+
+// A Status is what a query shows of a service on this entry instance.
+type Status struct {
+	Service   string           `json:"service"`
+	Waiting   int              `json:"waiting"`
+	Latency   time.Duration    `json:"latency"` // in nanoseconds
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
+// Status returns the state of the service.
+func (s *Service) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	st := Status{Service: s.name, Waiting: s.waiting.Len(), Latency: s.latency}
+	for _, u := range slices.Concat(s.own, s.other) {
+		st.Upstreams = append(st.Upstreams, UpstreamStatus{
+			Instance: u.instance.ID, Zone: u.instance.Zone, InFlight: u.inFlight, Limit: u.limit,
+			Latency: u.recent, Leaving: u.leaving, Ejected: now.Before(u.until),
+			Served: u.served, Failed: u.failed, Refused: u.refused,
+		})
+	}
+	return st
+}
+
+// Probe reports whether a request would be refused at once. It saves the work
+// that comes before Acquire, and promises nothing.
+func (s *Service) Probe(r Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting.Len() == 0 && s.pick(r.Avoid) != nil {
+		return nil
+	}
+	if !s.usable() {
+		return &RefusedError{s.name, ReasonNoUpstream, retryAfterEmpty}
+	}
+	forecast := s.forecast(r)
+	if s.clock.Now().Add(forecast + s.latency).After(r.Deadline) {
+		return &RefusedError{s.name, ReasonTooLate, retryAfter(forecast)}
+	}
+	return nil
+}
--- /dev/null
+++ b/elect/elect.go
@@ -0,0 +1,85 @@
+// Package elect keeps a named lease of the platform's service, so that one
+// process at a time does a piece of work.
+//
+// Invariant: Held is true only while the lease cannot have lapsed, counted by
+// this process's own clock from before the call that granted it. A lease saves
+// work and never protects correctness: whoever holds it still commits by
+// compare-and-swap.
+package elect
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the candidate for a lease.
+
+// DefaultTTL is how long a lease lasts unrenewed.
+const DefaultTTL = 10 * time.Second
+
+// renewals is how often a lease is renewed within its time.
+const renewals = 3
+
+// A Candidate asks for a lease again and again. It is safe for concurrent use.
+type Candidate struct {
+	leaser pointport.Leaser
+	clock  pointport.Clock
+	name   string
+	holder string
+	ttl    time.Duration
+
+	mu    sync.Mutex
+	until time.Time
+}
+
+// Start returns a candidate for the lease called name, which asks for it until
+// ctx ends and then gives it back.
+func Start(ctx context.Context, leaser pointport.Leaser, clock pointport.Clock, name, holder string, ttl time.Duration) *Candidate {
+	c := &Candidate{leaser: leaser, clock: clock, name: name, holder: holder, ttl: ttl}
+	go func() {
+		for ctx.Err() == nil {
+			c.ask(ctx)
+			select {
+			case <-clock.After(ttl / renewals):
+			case <-ctx.Done():
+			}
+		}
+		c.giveBack()
+	}()
+	return c
+}
+
+// Held reports whether this process has the lease.
+func (c *Candidate) Held() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Before(c.until)
+}
+
+func (c *Candidate) ask(ctx context.Context) {
+	from := c.clock.Now()
+	err := c.leaser.Lease(ctx, c.name, c.holder, c.ttl)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.until = from.Add(c.ttl)
+	}
+}
+
+// giveBack ends the lease so that the next holder need not wait.
+func (c *Candidate) giveBack() {
+	held := c.Held()
+	c.mu.Lock()
+	c.until = time.Time{}
+	c.mu.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	// The lease lapses by itself if this fails.
+	_ = c.leaser.Release(ctx, c.name, c.holder)
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,58 @@
+package event
+
+import "log/slog"
+
+// This file defines the events. Hundreds group them by subject: 1xx the
+// process, 2xx logs in the store, 3xx the request path, 4xx pools and waves, 5xx
+// jobs.
+
+// Events of the process.
+var (
+	Started  = define(101, "started", slog.LevelInfo, "The process serves on the addresses given.")
+	Stopping = define(102, "stopping", slog.LevelInfo, "A planned stop has begun; readiness is off.")
+	Stopped  = define(103, "stopped", slog.LevelInfo, "The process ends; inFlight says how many requests were left.")
+	Failed   = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
+)
+
+// Events of the logs in the store: configuration, assignment and jobs.
+var (
+	VersionApplied = define(201, "version applied", slog.LevelInfo, "A version of the log named is in force on this node.")
+	LogBehind      = define(202, "log behind", slog.LevelWarn, "The store shows a lower version than this node has applied; it is ignored.")
+	LogCut         = define(203, "log cut off", slog.LevelWarn, "A log cannot be read or compacted; the last version stays in force.")
+	LogBack        = define(204, "log back", slog.LevelInfo, "A log can be read again.")
+	ChangeSettled  = define(205, "change settled", slog.LevelInfo, "A change whose answer was lost was settled by reading it back.")
+	LogCompacted   = define(206, "log compacted", slog.LevelInfo, "A snapshot of a log was written and old segments were removed.")
+)
+
+// Events of the request path.
+var (
+	UpstreamEjected  = define(301, "upstream ejected", slog.LevelWarn, "An upstream failed too often and is left alone for a while.")
+	UpstreamRestored = define(302, "upstream restored", slog.LevelInfo, "An ejected upstream answered a trial request and is in use again.")
+	UpstreamLeaving  = define(303, "upstream leaving", slog.LevelInfo, "An upstream gets no new work because it is leaving.")
+	AnswerCut        = define(304, "answer cut short", slog.LevelWarn, "An upstream's answer ended early; the caller's connection was broken so that it cannot pass for whole.")
+	ClaimsCut        = define(305, "claims cut off", slog.LevelWarn, "Claims cannot be written; keyed requests are refused as not run.")
+	ClaimsBack       = define(306, "claims back", slog.LevelInfo, "Claims can be written again.")
+	HandlerPanic     = define(307, "handler panic", slog.LevelError, "A request's handler panicked; its connection was broken.")
+	ListCut          = define(308, "instance list cut off", slog.LevelWarn, "The platform's list of instances cannot be read; the last one stays in use.")
+	ListBack         = define(309, "instance list back", slog.LevelInfo, "The platform's list of instances can be read again.")
+	ShareChanged     = define(310, "connection share changed", slog.LevelInfo, "This entry instance holds another number of connections beyond its fixed share.")
+)
+
+// Events of pools and waves.
+var (
+	PlannerElected = define(401, "planner elected", slog.LevelInfo, "This entry instance holds the planner's lease of its availability zone.")
+	PlannerLost    = define(402, "planner lost", slog.LevelInfo, "This entry instance no longer holds the planner's lease.")
+	StepDecided    = define(403, "step decided", slog.LevelInfo, "The planner changed an instance's pool or state; reason says why.")
+	StepLost       = define(404, "step lost", slog.LevelInfo, "Another planner changed the assignment first; nothing was done.")
+	PlanFailed     = define(405, "plan failed", slog.LevelWarn, "The planner could not read or write what it needs; no new step is taken.")
+	WaveStopped    = define(406, "wave stopped", slog.LevelWarn, "A wave stopped itself; reason says why.")
+)
+
+// Events of jobs.
+var (
+	JobPlaced     = define(501, "job placed", slog.LevelInfo, "A job was given to an instance.")
+	JobEnded      = define(502, "job ended", slog.LevelInfo, "A job has its result or its reason.")
+	JobSetAside   = define(503, "job set aside", slog.LevelWarn, "A job failed on too many instances and is not tried again.")
+	PlacementCut  = define(504, "placement cut off", slog.LevelWarn, "Jobs cannot be read or written; nothing is started.")
+	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+)
--- /dev/null
+++ b/memory/store.go
@@ -0,0 +1,264 @@
+// Package memory implements pointport.Store in memory. It is the stand-in for
+// the platform's service in tests and in the embedded default, and it can be
+// told to fail in the ways that the real service does.
+//
+// Invariants: a revision grows with every change of any key and is never used
+// twice; a change that a fault makes ambiguous has either taken effect wholly
+// or not at all.
+package memory
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the store and its faults.
+
+// A Fault is the way in which a call fails.
+type Fault int
+
+// The faults that can be brought about.
+const (
+	FaultNone       Fault = iota // the call works
+	FaultBefore                  // the call fails and has no effect
+	FaultLostAnswer              // the call takes effect and its answer is lost
+	FaultLostCall                // the call has no effect, and the caller cannot tell
+)
+
+// errDown is the cause of every failure that a fault brings about.
+var errDown = errors.New("stand-in store is down")
+
+// errLost is the cause of every lost answer.
+var errLost = errors.New("stand-in store lost the answer")
+
+// An Injector decides the fault of each call from its name ("get", "cas",
+// "delete", "watch", "lease", "release") and its key. It runs without the
+// store's lock held, so it may change the store.
+type Injector func(op, key string) Fault
+
+// Counts holds how many calls a store has had.
+type Counts struct {
+	Reads     int64 `json:"reads"`     // calls of Get
+	Writes    int64 `json:"writes"`    // calls of CompareAndSwap and Delete
+	Watches   int64 `json:"watches"`   // calls of Watch
+	Leases    int64 `json:"leases"`    // calls of Lease and Release
+	BytesOut  int64 `json:"bytesOut"`  // bytes of values returned
+	BytesIn   int64 `json:"bytesIn"`   // bytes of values written
+	Conflicts int64 `json:"conflicts"` // writes that another writer beat
+}
+
+// A Store is a key-value service in memory. It is safe for concurrent use.
+type Store struct {
+	clock  pointport.Clock
+	inject Injector
+
+	mu      sync.Mutex
+	last    pointport.Revision
+	entries map[string]pointport.Entry
+	leases  map[string]lease
+	changed chan struct{} // closed and replaced at every change
+	counts  Counts
+}
+
+type lease struct {
+	holder string
+	until  time.Time
+}
+
+var (
+	_ pointport.Store   = (*Store)(nil)
+	_ pointport.Watcher = (*Store)(nil)
+	_ pointport.Deleter = (*Store)(nil)
+	_ pointport.Leaser  = (*Store)(nil)
+)
+
+// An Option changes how a Store behaves.
+type Option func(*Store)
+
+// WithInjector makes the store fail as inject says.
+func WithInjector(inject Injector) Option { return func(s *Store) { s.inject = inject } }
+
+// New returns an empty store whose leases run by clock.
+func New(clock pointport.Clock, options ...Option) *Store {
+	s := &Store{
+		clock:   clock,
+		inject:  func(string, string) Fault { return FaultNone },
+		entries: make(map[string]pointport.Entry),
+		leases:  make(map[string]lease),
+		changed: make(chan struct{}),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// SetInjector replaces the decision about faults.
+func (s *Store) SetInjector(inject Injector) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inject = inject
+}
+
+// Counts returns how many calls the store has had so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Keys returns how many keys exist.
+func (s *Store) Keys() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
+
+// call runs one operation under its fault.
+func (s *Store) call(ctx context.Context, op, key string, run func() error) error {
+	if err := ctx.Err(); err != nil {
+		return &pointport.UnavailableError{Op: op, Key: key, Err: err}
+	}
+	s.mu.Lock()
+	inject := s.inject
+	s.mu.Unlock()
+	fault := inject(op, key)
+	switch fault {
+	case FaultBefore:
+		return &pointport.UnavailableError{Op: op, Key: key, Err: errDown}
+	case FaultLostCall:
+		return &pointport.UnavailableError{Op: op, Key: key, Ambiguous: true, Err: errLost}
+	}
+	s.mu.Lock()
+	err := run()
+	s.mu.Unlock()
+	if fault == FaultLostAnswer {
+		return &pointport.UnavailableError{Op: op, Key: key, Ambiguous: true, Err: errLost}
+	}
+	return err
+}
+
+// Get returns the state of key.
+func (s *Store) Get(ctx context.Context, key string) (pointport.Entry, error) {
+	var e pointport.Entry
+	err := s.call(ctx, "get", key, func() error {
+		s.counts.Reads++
+		e = s.entry(key)
+		s.counts.BytesOut += int64(len(e.Value()))
+		return nil
+	})
+	if err != nil {
+		return pointport.Entry{}, err
+	}
+	return e, nil
+}
+
+func (s *Store) entry(key string) pointport.Entry {
+	if e, ok := s.entries[key]; ok {
+		return e
+	}
+	return pointport.NewEntry(key, nil, 0)
+}
+
+// CompareAndSwap sets key to value if its revision is still have.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, have pointport.Revision, value []byte) (pointport.Revision, error) {
+	var rev pointport.Revision
+	err := s.call(ctx, "cas", key, func() error {
+		s.counts.Writes++
+		s.counts.BytesIn += int64(len(value))
+		if err := s.check(key, have); err != nil {
+			return err
+		}
+		s.last++
+		rev = s.last
+		s.entries[key] = pointport.NewEntry(key, append([]byte(nil), value...), rev)
+		s.wake()
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return rev, nil
+}
+
+// Delete removes key if its revision is still have.
+func (s *Store) Delete(ctx context.Context, key string, have pointport.Revision) error {
+	return s.call(ctx, "delete", key, func() error {
+		s.counts.Writes++
+		if err := s.check(key, have); err != nil {
+			return err
+		}
+		delete(s.entries, key)
+		s.wake()
+		return nil
+	})
+}
+
+func (s *Store) check(key string, have pointport.Revision) error {
+	if now := s.entry(key).Revision(); now != have {
+		s.counts.Conflicts++
+		return &pointport.ConflictError{Key: key, Want: have, Have: now}
+	}
+	return nil
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch waits until key has a revision greater than after, or ctx ends. A wait
+// that ends by ctx returns the unchanged state, as the real service does when
+// it ends a long wait.
+func (s *Store) Watch(ctx context.Context, key string, after pointport.Revision) (pointport.Entry, error) {
+	err := s.call(ctx, "watch", key, func() error {
+		s.counts.Watches++
+		return nil
+	})
+	if err != nil {
+		return pointport.Entry{}, err
+	}
+	for {
+		s.mu.Lock()
+		e, changed := s.entry(key), s.changed
+		if e.Revision() > after {
+			s.counts.BytesOut += int64(len(e.Value()))
+			s.mu.Unlock()
+			return e, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return e, nil
+		}
+	}
+}
+
+// Lease grants or extends a lease.
+func (s *Store) Lease(ctx context.Context, name, holder string, ttl time.Duration) error {
+	return s.call(ctx, "lease", name, func() error {
+		s.counts.Leases++
+		now := s.clock.Now()
+		if l, ok := s.leases[name]; ok && l.holder != holder && now.Before(l.until) {
+			return &pointport.HeldError{Name: name, Holder: l.holder}
+		}
+		s.leases[name] = lease{holder, now.Add(ttl)}
+		return nil
+	})
+}
+
+// Release ends holder's lease, if it still has it.
+func (s *Store) Release(ctx context.Context, name, holder string) error {
+	return s.call(ctx, "release", name, func() error {
+		s.counts.Leases++
+		if s.leases[name].holder == holder {
+			delete(s.leases, name)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/planner/tracker.go
@@ -0,0 +1,74 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/assign"
+)
+
+// This file defines what a planner remembers between its rounds. None of it
+// must last: a new planner sees it again, and only waits a little longer.
+
+// A quiet is a stretch of reports that say that an instance runs nothing.
+type quiet struct {
+	from, last time.Time // by the planner's own clock
+	reported   time.Time // the last report, by the platform's
+}
+
+// A tracker remembers since when instances are quiet or absent.
+type tracker struct {
+	quiet  map[pointport.InstanceID]quiet
+	absent map[pointport.InstanceID]time.Time
+}
+
+func newTracker() tracker {
+	return tracker{quiet: map[pointport.InstanceID]quiet{}, absent: map[pointport.InstanceID]time.Time{}}
+}
+
+// look takes in one reading of the platform's list.
+func (t tracker) look(now time.Time, state *assign.State, listed []pointport.Instance) {
+	present := make(map[pointport.InstanceID]bool, len(listed))
+	for _, i := range listed {
+		present[i.ID] = true
+		delete(t.absent, i.ID)
+		t.lookQuiet(now, i)
+	}
+	for _, m := range state.Members() {
+		if present[m.ID] {
+			continue
+		}
+		delete(t.quiet, m.ID)
+		if _, known := t.absent[m.ID]; !known {
+			t.absent[m.ID] = now
+		}
+	}
+}
+
+// lookQuiet takes in one instance's report. The list lags, so a report counts
+// only once it shows the instance as leaving: by then it came after the drain
+// was told. A report that has not moved says nothing new.
+func (t tracker) lookQuiet(now time.Time, i pointport.Instance) {
+	if i.InFlight > 0 || i.State != pointport.InstanceLeaving {
+		delete(t.quiet, i.ID)
+		return
+	}
+	q, known := t.quiet[i.ID]
+	if !known {
+		t.quiet[i.ID] = quiet{now, now, i.Reported}
+		return
+	}
+	if i.Reported.After(q.reported) {
+		q.last, q.reported = now, i.Reported
+		t.quiet[i.ID] = q
+	}
+}
+
+// quietFor returns how long each instance has been seen to run nothing.
+func (t tracker) quietFor() map[pointport.InstanceID]time.Duration {
+	out := make(map[pointport.InstanceID]time.Duration, len(t.quiet))
+	for id, q := range t.quiet {
+		out[id] = q.last.Sub(q.from)
+	}
+	return out
+}
--- /dev/null
+++ b/queue/fair.go
@@ -0,0 +1,230 @@
+// Package queue holds what waits, in the order in which it should be served.
+//
+// The model: items wait in one of three classes. Within a class, customers
+// share by start-time fair queueing: each item gets a virtual start no earlier
+// than its customer's last virtual finish, and the least start goes first, so a
+// customer's burst waits behind itself. A higher class goes first, but a lower
+// class that has been passed over a set number of times gets the next turn.
+//
+// Invariants: an item leaves the queue exactly once; no class waits for more
+// than its bound of turns while it holds items.
+package queue
+
+import (
+	"container/heap"
+
+	"github.com/pointport/pointport/config"
+)
+
+// This file defines the fair queue.
+
+// classes is how many classes there are.
+const classes = 3
+
+// starveBound is how many turns in a row a class may be passed over.
+var starveBound = [classes]int{0, 4, 16}
+
+// class returns the index of a priority.
+func class(p config.Priority) int {
+	switch p {
+	case config.Urgent:
+		return 0
+	case config.Bulk:
+		return 2
+	}
+	return 1
+}
+
+// An Item is something that waits in a Fair queue.
+type Item[T any] struct {
+	value  T
+	class  int
+	start  float64
+	serial int64
+	index  int // in its class's heap, or -1
+}
+
+// Value returns what waits.
+func (i *Item[T]) Value() T { return i.value }
+
+// Queued reports whether the item still waits.
+func (i *Item[T]) Queued() bool { return i.index >= 0 }
+
+// A Fair is a queue that is fair to customers. It is not safe for concurrent
+// use. The zero value is empty and ready.
+type Fair[T any] struct {
+	lines  [classes]line[T]
+	serial int64
+	length int
+}
+
+// A line is the items of one class.
+type line[T any] struct {
+	items   itemHeap[T]
+	now     float64            // the virtual time: the start of what was served last
+	finish  map[string]float64 // each customer's last virtual finish
+	skipped int                // turns in a row that the class was passed over
+}
+
+// Len returns how many items wait.
+func (f *Fair[T]) Len() int { return f.length }
+
+// Ahead returns how many items wait that would be served before a new item of
+// priority p for a customer, turns of lower classes aside.
+func (f *Fair[T]) Ahead(p config.Priority, customer string) int {
+	c := class(p)
+	n := 0
+	for higher := range c {
+		n += len(f.lines[higher].items)
+	}
+	l := &f.lines[c]
+	start := max(l.now, l.finish[customer])
+	for _, it := range l.items {
+		if it.start <= start {
+			n++
+		}
+	}
+	return n
+}
+
+// Last returns the item that would be served after all others, or nil.
+func (f *Fair[T]) Last() *Item[T] {
+	for c := classes - 1; c >= 0; c-- {
+		var last *Item[T]
+		for _, it := range f.lines[c].items {
+			if last == nil || it.start > last.start || it.start == last.start && it.serial > last.serial {
+				last = it
+			}
+		}
+		if last != nil {
+			return last
+		}
+	}
+	return nil
+}
+
+// Before reports whether a new item of priority p for a customer would be
+// served before it.
+func (f *Fair[T]) Before(p config.Priority, customer string, it *Item[T]) bool {
+	c := class(p)
+	if c != it.class {
+		return c < it.class
+	}
+	l := &f.lines[c]
+	return max(l.now, l.finish[customer]) < it.start
+}
+
+// Push adds value for a customer. The customer's weight and the item's cost
+// decide how soon its next item's turn comes.
+func (f *Fair[T]) Push(value T, p config.Priority, customer string, weight, cost float64) *Item[T] {
+	c := class(p)
+	l := &f.lines[c]
+	if l.finish == nil {
+		l.finish = make(map[string]float64)
+	}
+	start := max(l.now, l.finish[customer])
+	l.finish[customer] = start + cost/weight
+	f.serial++
+	it := &Item[T]{value: value, class: c, start: start, serial: f.serial}
+	heap.Push(&l.items, it)
+	f.length++
+	return it
+}
+
+// Pop removes and returns the item whose turn it is, or nil.
+func (f *Fair[T]) Pop() *Item[T] {
+	c := f.turn()
+	if c < 0 {
+		return nil
+	}
+	for other := range f.lines {
+		if other != c && len(f.lines[other].items) > 0 {
+			f.lines[other].skipped++
+		}
+	}
+	l := &f.lines[c]
+	l.skipped = 0
+	it := heap.Pop(&l.items).(*Item[T])
+	l.now = it.start
+	f.length--
+	l.forget()
+	return it
+}
+
+// turn returns the class whose turn it is, or -1.
+func (f *Fair[T]) turn() int {
+	first := -1
+	for c := range f.lines {
+		l := &f.lines[c]
+		if len(l.items) == 0 {
+			continue
+		}
+		if c > 0 && l.skipped >= starveBound[c] {
+			return c
+		}
+		if first < 0 {
+			first = c
+		}
+	}
+	return first
+}
+
+// forget drops customers that have no claim left, so that the map stays no
+// larger than what waits.
+func (l *line[T]) forget() {
+	if len(l.items) == 0 {
+		clear(l.finish)
+		l.now = 0
+		return
+	}
+	if len(l.finish) <= 2*len(l.items)+classes {
+		return
+	}
+	for c, end := range l.finish {
+		if end <= l.now {
+			delete(l.finish, c)
+		}
+	}
+}
+
+// Remove takes an item out before its turn. It reports whether it still waited.
+func (f *Fair[T]) Remove(it *Item[T]) bool {
+	if it.index < 0 {
+		return false
+	}
+	heap.Remove(&f.lines[it.class].items, it.index)
+	f.length--
+	return true
+}
+
+// An itemHeap orders items by their virtual start, then by arrival.
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+
+func (h itemHeap[T]) Less(a, b int) bool {
+	if h[a].start != h[b].start {
+		return h[a].start < h[b].start
+	}
+	return h[a].serial < h[b].serial
+}
+
+func (h itemHeap[T]) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].index, h[b].index = a, b
+}
+
+func (h *itemHeap[T]) Push(x any) {
+	it := x.(*Item[T])
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	it.index = -1
+	return it
+}
--- /dev/null
+++ b/remote/fleet.go
@@ -0,0 +1,77 @@
+package remote
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the calls about instances and tasks.
+
+// Instances returns the platform's list for zone, or all of it.
+func (c *Client) Instances(ctx context.Context, zone pointport.ZoneID) ([]pointport.Instance, error) {
+	var list []pointport.Instance
+	err := c.do(ctx, call{
+		op: "instances", key: string(zone), method: http.MethodGet, path: "/v1/instances",
+		query: url.Values{"zone": {string(zone)}},
+	}, &list)
+	return list, err
+}
+
+// Drain tells the platform that an instance is leaving.
+func (c *Client) Drain(ctx context.Context, id pointport.InstanceID, boots int64) error {
+	return c.steer(ctx, "drain", id, boots)
+}
+
+// Restore takes a Drain back.
+func (c *Client) Restore(ctx context.Context, id pointport.InstanceID, boots int64) error {
+	return c.steer(ctx, "restore", id, boots)
+}
+
+// Reboot restarts an instance if its boot count is still boots.
+func (c *Client) Reboot(ctx context.Context, id pointport.InstanceID, boots int64) error {
+	return c.steer(ctx, "reboot", id, boots)
+}
+
+func (c *Client) steer(ctx context.Context, op string, id pointport.InstanceID, boots int64) error {
+	return c.do(ctx, call{
+		op: op, key: string(id), method: http.MethodPost,
+		path:  "/v1/instances/" + url.PathEscape(string(id)) + "/" + op,
+		query: url.Values{"boots": {strconv.FormatInt(boots, 10)}}, changes: true,
+	}, nil)
+}
+
+// StartTask starts a task under its lease.
+func (c *Client) StartTask(ctx context.Context, task pointport.Task) error {
+	body, err := json.Marshal(task)
+	if err != nil {
+		return &pointport.UnavailableError{Op: "start", Key: string(task.ID), Err: err}
+	}
+	return c.do(ctx, call{
+		op: "start", key: string(task.ID), method: http.MethodPost,
+		path: "/v1/tasks", body: body, changes: true,
+	}, nil)
+}
+
+// Tasks returns what the instances of zone say of their tasks.
+func (c *Client) Tasks(ctx context.Context, zone pointport.ZoneID) ([]pointport.Task, error) {
+	var list []pointport.Task
+	err := c.do(ctx, call{
+		op: "tasks", key: string(zone), method: http.MethodGet, path: "/v1/tasks",
+		query: url.Values{"zone": {string(zone)}},
+	}, &list)
+	return list, err
+}
+
+// StopTask stops a task.
+func (c *Client) StopTask(ctx context.Context, instance pointport.InstanceID, id pointport.TaskID) error {
+	return c.do(ctx, call{
+		op: "stop", key: string(id), method: http.MethodPost,
+		path:  "/v1/tasks/" + url.PathEscape(string(id)) + "/stop",
+		query: url.Values{"instance": {string(instance)}}, changes: true,
+	}, nil)
+}
--- /dev/null
+++ b/standin/instance.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines an instance: an HTTP server with slots, connections and
+// ways to fail.
+
+// Headers that a stand-in instance understands and sets.
+const (
+	// HeaderWork asks for a run time in place of the instance's own.
+	HeaderWork = "X-Standin-Work"
+	// HeaderInstance names the instance that answered.
+	HeaderInstance = "X-Standin-Instance"
+	// HeaderNotRun says that the request was refused before it ran.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving says that the instance is leaving.
+	HeaderLeaving = "X-Leaving"
+	// HeaderKey is the caller's key.
+	HeaderKey = "Idempotency-Key"
+)
+
+// A Mode is the way in which an instance behaves.
+type Mode string
+
+// The modes of an instance.
+const (
+	ModeNormal Mode = ""
+	ModeFail   Mode = "fail"   // answers 500 at once
+	ModeSlow   Mode = "slow"   // takes ten times as long
+	ModeNotRun Mode = "notrun" // refuses everything before it runs
+	ModeCut    Mode = "cut"    // cuts its answers short
+)
+
+const (
+	// DefaultSlots is how many requests an instance runs at once.
+	DefaultSlots = 8
+	// DefaultConnections is how many connections an instance accepts.
+	DefaultConnections = 64
+	// slowFactor is how much longer a slow instance takes.
+	slowFactor = 10
+	// guardWait is how long an instance holds a request that finds no slot
+	// before it refuses it.
+	guardWait = 500 * time.Millisecond
+	// bodyLimit bounds what an instance reads of a request, in bytes.
+	bodyLimit = 8 << 20
+	// serviceSpread is the part of the run time that varies by chance.
+	serviceSpread = 0.5
+)
+
+// An Instance is one worker with an HTTP server. It is safe for concurrent use.
+type Instance struct {
+	fleet   *Fleet
+	slots   chan struct{}
+	service time.Duration
+
+	inFlight atomic.Int64
+	served   atomic.Int64
+	conns    atomic.Int64
+	maxConns atomic.Int64
+	cutOff   atomic.Int64 // requests that a reboot found in flight
+
+	mu     sync.Mutex
+	info   pointport.Instance
+	mode   Mode
+	server *http.Server
+	ran    map[string]int // runs for each key
+}
+
+// ID returns the instance's name.
+func (i *Instance) ID() pointport.InstanceID { return i.Info().ID }
+
+// Info returns what is true of the instance now, without any lag.
+func (i *Instance) Info() pointport.Instance {
+	i.mu.Lock()
+	info := i.info
+	i.mu.Unlock()
+	// The fleet's lock is taken before an instance's, never after it.
+	info.InFlight = i.inFlight.Load() + i.fleet.tasksOn(info.ID)
+	info.Reported = i.fleet.clock.Now()
+	return info
+}
+
+// Served returns how many requests the instance has run.
+func (i *Instance) Served() int64 { return i.served.Load() }
+
+// MaxConns returns the most connections that the instance has had at once.
+func (i *Instance) MaxConns() int64 { return i.maxConns.Load() }
+
+// CutOff returns how many requests were in flight when the instance rebooted.
+func (i *Instance) CutOff() int64 { return i.cutOff.Load() }
+
+// Runs returns how often each key has run.
+func (i *Instance) Runs() map[string]int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	runs := make(map[string]int, len(i.ran))
+	for k, n := range i.ran {
+		runs[k] = n
+	}
+	return runs
+}
+
+// SetMode changes how the instance behaves.
+func (i *Instance) SetMode(m Mode) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mode = m
+}
+
+func (i *Instance) setState(s pointport.InstanceState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.info.State = s
+}
+
+func (i *Instance) snapshot() (Mode, pointport.InstanceState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.mode, i.info.State
+}
+
+// listen starts the server on the instance's address, or on a new one.
+func (i *Instance) listen() error {
+	addr := i.Info().Address
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("instance %s: %w", i.ID(), err)
+	}
+	srv := &http.Server{Handler: i, ConnState: i.countConn, ReadHeaderTimeout: time.Minute}
+	i.mu.Lock()
+	i.info.Address = l.Addr().String()
+	i.info.State = pointport.InstanceLive
+	i.server = srv
+	i.mu.Unlock()
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			i.setState(pointport.InstanceDown)
+		}
+	}()
+	return nil
+}
+
+// Kill closes the listener and every connection at once.
+func (i *Instance) Kill() {
+	i.mu.Lock()
+	srv := i.server
+	i.info.State = pointport.InstanceDown
+	i.mu.Unlock()
+	if srv != nil {
+		_ = srv.Close()
+	}
+}
+
+// Start brings a killed instance back, with one boot more.
+func (i *Instance) Start() error {
+	i.mu.Lock()
+	i.info.Boots++
+	i.mu.Unlock()
+	return i.listen()
+}
+
+func (i *Instance) countConn(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n := i.conns.Add(1)
+		for {
+			most := i.maxConns.Load()
+			if n <= most || i.maxConns.CompareAndSwap(most, n) {
+				break
+			}
+		}
+		if n > DefaultConnections {
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		i.conns.Add(-1)
+	}
+}
+
+// ServeHTTP runs one request.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
+	mode, state := i.snapshot()
+	w.Header().Set(HeaderInstance, string(i.ID()))
+	if state == pointport.InstanceLeaving {
+		w.Header().Set(HeaderLeaving, "true")
+	}
+	switch mode {
+	case ModeFail:
+		http.Error(w, "this instance fails everything", http.StatusInternalServerError)
+		return
+	case ModeNotRun:
+		refuse(w)
+		return
+	}
+	if !i.takeSlot(r.Context()) {
+		refuse(w)
+		return
+	}
+	defer func() { <-i.slots }()
+	i.run(w, r, mode)
+}
+
+// takeSlot waits for a slot, but not for long.
+func (i *Instance) takeSlot(ctx context.Context) bool {
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	default:
+	}
+	t := time.NewTimer(guardWait)
+	defer t.Stop()
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(HeaderNotRun, "true")
+	http.Error(w, "not run", http.StatusServiceUnavailable)
+}
+
+// answer is what a run returns.
+type answer struct {
+	Instance pointport.InstanceID `json:"instance"`
+	Path     string               `json:"path"`
+	Key      string               `json:"key,omitempty"`
+	Body     string               `json:"body,omitempty"`
+	Echo     string               `json:"echo,omitempty"`
+}
+
+func (i *Instance) run(w http.ResponseWriter, r *http.Request, mode Mode) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
+	if err != nil {
+		return
+	}
+	i.served.Add(1)
+	key := r.Header.Get(HeaderKey)
+	if key != "" {
+		i.mu.Lock()
+		i.ran[key]++
+		i.mu.Unlock()
+	}
+	time.Sleep(i.runTime(r, mode))
+	data, err := json.Marshal(answer{
+		Instance: i.ID(), Path: r.URL.Path, Key: key, Body: string(body), Echo: r.Header.Get("X-Request-Id"),
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if mode == ModeCut {
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+func (i *Instance) runTime(r *http.Request, mode Mode) time.Duration {
+	d := i.service
+	if v := r.Header.Get(HeaderWork); v != "" {
+		if asked, err := time.ParseDuration(v); err == nil {
+			d = asked
+		}
+	}
+	if mode == ModeSlow {
+		d *= slowFactor
+	}
+	return time.Duration(float64(d) * (1 + serviceSpread*(2*rand.Float64()-1)))
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,119 @@
+package pointport
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// This file defines the platform's key-value service as pointport uses it.
+
+// A Revision identifies one state of a key. It grows with every change of the
+// key and is zero while the key does not exist.
+type Revision int64
+
+// An Entry is the state of one key at one revision.
+type Entry struct {
+	key      string
+	value    []byte
+	revision Revision
+}
+
+// NewEntry returns the state of a key. A revision of zero means that the key
+// does not exist.
+func NewEntry(key string, value []byte, revision Revision) Entry {
+	return Entry{key: key, value: value, revision: revision}
+}
+
+// Key returns the key.
+func (e Entry) Key() string { return e.key }
+
+// Value returns the stored bytes, which the caller must not change.
+func (e Entry) Value() []byte { return e.value }
+
+// Revision returns the revision, zero if the key does not exist.
+func (e Entry) Revision() Revision { return e.revision }
+
+// Exists reports whether the key exists.
+func (e Entry) Exists() bool { return e.revision != 0 }
+
+// A Store is the least that pointport needs of the platform's service.
+//
+// Every method may fail with an *UnavailableError. When its Ambiguous method
+// reports true, the change may have taken effect although no answer came.
+type Store interface {
+	// Get returns the state of key. A missing key is an Entry that does not
+	// exist, not an error.
+	Get(ctx context.Context, key string) (Entry, error)
+
+	// CompareAndSwap sets key to value if its revision is still have, and
+	// returns the new revision. Zero means that the key must not exist yet.
+	// It fails with a *ConflictError if the key has another revision.
+	CompareAndSwap(ctx context.Context, key string, have Revision, value []byte) (Revision, error)
+}
+
+// A Watcher is a Store that can wait for a change.
+type Watcher interface {
+	// Watch returns the state of key as soon as its revision is greater than
+	// after, or its unchanged state when the service ends the wait.
+	Watch(ctx context.Context, key string, after Revision) (Entry, error)
+}
+
+// A Deleter is a Store that can remove a key.
+type Deleter interface {
+	// Delete removes key if its revision is still have. It fails with a
+	// *ConflictError if the key has another revision.
+	Delete(ctx context.Context, key string, have Revision) error
+}
+
+// A Leaser is a Store that grants leases.
+type Leaser interface {
+	// Lease grants or extends the lease called name for holder. It fails with
+	// a *HeldError while another holder has it. Whoever counts on a lease must
+	// count from before the call, because the answer may be late.
+	Lease(ctx context.Context, name, holder string, ttl time.Duration) error
+
+	// Release ends holder's lease called name, if it still has it.
+	Release(ctx context.Context, name, holder string) error
+}
+
+// A ConflictError says that a key was not at the revision that a change
+// expected. It comes from a Store.
+type ConflictError struct {
+	Key  string   // the key that was to change
+	Want Revision // the revision that the change expected
+	Have Revision // the revision that the key had
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("store key %q: want revision %d, have %d", e.Key, e.Want, e.Have)
+}
+
+// A HeldError says that another holder has a lease. It comes from a Leaser.
+type HeldError struct {
+	Name   string // the lease
+	Holder string // who has it
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("lease %q is held by %q", e.Name, e.Holder)
+}
+
+// An UnavailableError says that the platform's service gave no usable answer.
+type UnavailableError struct {
+	Op        string // the call, such as "get"
+	Key       string // the key or the lease it was about
+	Ambiguous bool   // whether a change may have taken effect all the same
+	Err       error  // the cause
+}
+
+func (e *UnavailableError) Error() string {
+	effect := "no effect"
+	if e.Ambiguous {
+		effect = "effect unknown"
+	}
+	return fmt.Sprintf("store %s %q unavailable (%s): %v", e.Op, e.Key, effect, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
