Divide an upstream's connections: fixed shares and an elastic part under lease

Cause: an upstream accepts 64 connections from all entry instances together, members come and go, and the balancer may send everything to one of them. Fixed shares need no agreement; the elastic part is leased for a whole zone in one value, lowered before it is given back, and taken over only after lease and longest request have passed unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,7 @@
 	jobs     map[pointport.ZoneID]*placer.JobLog
 	claims   *claim.Book
 	gateway  *gateway.Gateway
+	shares   *shares
 	feeder   *feeder
 	election *elect.Candidate
 
@@ -129,18 +130,12 @@
 		claim.WithLogger(e.logger), claim.WithRetention(s.claimKeep), claim.WithWrites(s.claimRate, claim.DefaultGather))
 	e.gateway = gateway.New(e.clock, e.claims,
 		gateway.WithLogger(e.logger), gateway.WithZone(pointport.ZoneID(s.zone)),
-		gateway.WithShare(e.fixedShare), gateway.WithChooser(s.newChooser), gateway.WithRegistry(e.registry))
+		gateway.WithShare(func(zone pointport.ZoneID) int { return e.shares.allowed(zone) }), gateway.WithChooser(s.newChooser), gateway.WithRegistry(e.registry))
+	e.shares = newShares(e)
+	go func() { e.shares.run(ctx) }()
 	e.feeder = startFeeder(ctx, e)
 }
 
-// fixedShare is this entry instance's share of an upstream's connections.
-func (e *Entry) fixedShare(zone pointport.ZoneID) int {
-	if zone == pointport.ZoneID(e.settings.zone) {
-		return e.settings.ownShare
-	}
-	return e.settings.otherShare
-}
-
 func (s *Settings) newChooser() pointport.Chooser {
 	switch s.chooser {
 	case "least-in-flight":
--- a/daemon/feeder.go
+++ b/daemon/feeder.go
@@ -121,6 +121,7 @@
 	for customer, p := range cfg.Customers() {
 		weights[customer] = p.Weight
 	}
+	e.shares.setBound(templates)
 	e.gateway.Update(templates, weights, targets)
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -102,6 +102,7 @@
 	retries    float64
 	capacity   float64
 	capacityAt time.Time
+	pressedAt  time.Time // when a request last found no room
 }
 
 // A waiter is a request in the queue.
@@ -177,6 +178,13 @@
 	s.other = append(s.other, u)
 }
 
+// Pressed returns when a request last found no upstream with room.
+func (s *Service) Pressed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pressedAt
+}
+
 // Leave marks an upstream as leaving. It gets no new work.
 func (s *Service) Leave(id pointport.InstanceID) {
 	s.mu.Lock()
@@ -200,6 +208,7 @@
 			return s.grant(u), nil
 		}
 	}
+	s.pressedAt = s.clock.Now()
 	if err := s.admit(r); err != nil {
 		s.mu.Unlock()
 		return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,19 @@
 	return most
 }
 
+// Pressed returns when a request last found no upstream with room.
+func (g *Gateway) Pressed() time.Time {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	var last time.Time
+	for _, s := range g.services {
+		if at := s.Pressed(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // Status returns the state of every service.
 func (g *Gateway) Status() []dispatch.Status {
 	g.mu.RLock()
