--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -11,10 +11,14 @@
 // its ejection.
 
 const (
-	// fastWeight and slowWeight are the weights of a new sample in the recent
-	// latency and in the baseline latency.
-	fastWeight = 0.1
-	slowWeight = 0.002
+	// recentWeight is the weight of a new sample in the recent latency.
+	recentWeight = 0.1
+	// baseWeight is its weight in the baseline, which only rises while the limit
+	// is at its floor: by then what is slow is the work, and not a queue that
+	// this entry instance makes.
+	baseWeight = 0.05
+	// floorPart is the part of the slots below which congestion lowers no limit.
+	floorPart = 0.25
 	// congested is how far the recent latency may exceed the baseline before
 	// the limit falls.
 	congested = 2.0
@@ -81,15 +85,15 @@
 	saturated := u.inFlight+1 >= int(u.limit)
 	u.served++
 	u.fails, u.ejects, u.until = 0, 0, time.Time{}
-	u.recent = blend(u.recent, latency, fastWeight)
+	u.recent = blend(u.recent, latency, recentWeight)
 	switch {
 	case u.base == 0 || u.recent < u.base:
 		u.base = u.recent
-	default:
-		u.base = blend(u.base, u.recent, slowWeight)
+	case u.limit <= floor(slots):
+		u.base = blend(u.base, u.recent, baseWeight)
 	}
 	if float64(u.recent) > congested*float64(u.base) {
-		u.cut(now, cutByLatency)
+		u.cut(now, cutByLatency, floor(slots))
 		return
 	}
 	if saturated {
@@ -100,16 +104,19 @@
 // refuse takes in that the upstream did not run a request for lack of room.
 func (u *upstream) refuse(now time.Time) {
 	u.refused++
-	u.cut(now, cutByRefusal)
+	u.cut(now, cutByRefusal, 1)
 }
 
+// floor is the least that congestion lowers a limit to.
+func floor(slots int) float64 { return max(1, floorPart*float64(slots)) }
+
 // cut lowers the limit, at most once for each round of requests.
-func (u *upstream) cut(now time.Time, factor float64) {
+func (u *upstream) cut(now time.Time, factor, least float64) {
 	if now.Sub(u.cutAt) < u.recent {
 		return
 	}
 	u.cutAt = now
-	u.limit = max(1, u.limit*factor)
+	u.limit = max(min(u.limit, least), u.limit*factor)
 }
 
 // fail takes in a failure, which counts as slow whatever time it took. It
@@ -117,7 +124,7 @@
 func (u *upstream) fail(latency, service time.Duration, after int) bool {
 	u.failed++
 	u.fails++
-	u.recent = blend(u.recent, max(latency, failurePenalty*service), fastWeight)
+	u.recent = blend(u.recent, max(latency, failurePenalty*service), recentWeight)
 	return u.fails >= after || !u.until.IsZero()
 }
 
