--- a/cli/serve.go
+++ b/cli/serve.go
@@ -37,14 +37,15 @@
 			return err
 		}
 		waitForSignal(ctx)
-		e.Stop()
+		impatient, cancelWait := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+		defer cancelWait()
+		e.Stop(impatient)
 		return nil
 	}
 	return c
 }
 
-// waitForSignal waits until the process is asked to stop. A second signal ends
-// it at once.
+// waitForSignal waits until the process is asked to stop.
 func waitForSignal(ctx context.Context) {
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,7 @@
 	servers   []*http.Server
 	callers   *http.Server
 	stopping  atomic.Bool
+	stopOnce  sync.Once
 	inFlight  atomic.Int64
 }
 
@@ -256,16 +258,22 @@
 }
 
 // Stop ends the entry instance as planned: readiness first, then a notice for
-// the balancer, then the requests in flight.
-func (e *Entry) Stop() {
+// the balancer, then the requests in flight. The end of ctx cuts the notice
+// short. Stopping again waits for the same end.
+func (e *Entry) Stop(ctx context.Context) { e.stopOnce.Do(func() { e.stop(ctx) }) }
+
+func (e *Entry) stop(ctx context.Context) {
 	e.stopping.Store(true)
 	event.Stopping.Log(e.logger, slog.Duration("notice", e.settings.notice), slog.Duration("bound", e.settings.stopBound))
 	// Connections close after their current answer from now on.
 	e.callers.SetKeepAlivesEnabled(false)
-	<-e.clock.After(e.settings.notice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.stopBound)
+	select {
+	case <-e.clock.After(e.settings.notice):
+	case <-ctx.Done():
+	}
+	bound, cancel := context.WithTimeout(context.Background(), e.settings.stopBound)
 	defer cancel()
-	if err := e.callers.Shutdown(ctx); err != nil {
+	if err := e.callers.Shutdown(bound); err != nil {
 		event.Failed.Log(e.logger, slog.String("part", "callers"), slog.Any("error", err))
 	}
 	for _, srv := range e.servers {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -74,7 +74,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		e.Stop()
+		e.Stop(context.Background())
 		cancel()
 	})
 	return e
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -24,6 +24,9 @@
 const (
 	// HeaderWork asks for a run time in place of the instance's own.
 	HeaderWork = "X-Standin-Work"
+	// HeaderStream asks for the answer in that many pieces, spread over the run
+	// time.
+	HeaderStream = "X-Standin-Stream"
 	// HeaderInstance names the instance that answered.
 	HeaderInstance = "X-Standin-Instance"
 	// HeaderNotRun says that the request was refused before it ran.
@@ -265,7 +268,12 @@
 		i.ran[key]++
 		i.mu.Unlock()
 	}
-	time.Sleep(i.runTime(r, mode))
+	d := i.runTime(r, mode)
+	if n, err := strconv.Atoi(r.Header.Get(HeaderStream)); err == nil && n > 0 && n <= maxPieces {
+		stream(w, n, d)
+		return
+	}
+	time.Sleep(d)
 	data, err := json.Marshal(answer{
 		Instance: i.ID(), Path: r.URL.Path, Key: key, Body: string(body), Echo: r.Header.Get("X-Request-Id"),
 	})
@@ -282,6 +290,21 @@
 	_, _ = w.Write(data)
 }
 
+// maxPieces bounds the pieces of one answer.
+const maxPieces = 10000
+
+// stream sends an answer of n lines, spread over d.
+func stream(w http.ResponseWriter, n int, d time.Duration) {
+	control := http.NewResponseController(w)
+	for piece := range n {
+		time.Sleep(d / time.Duration(n))
+		fmt.Fprintf(w, "piece %d of %d\n", piece+1, n)
+		if err := control.Flush(); err != nil {
+			return
+		}
+	}
+}
+
 func (i *Instance) runTime(r *http.Request, mode Mode) time.Duration {
 	d := i.service
 	if v := r.Header.Get(HeaderWork); v != "" {
