A load command and experiments on loopback

Cause: no figure stood behind the request path. Change: pointport load sends requests on a schedule that does not wait, and classes what comes back; experiments/run.sh runs nine entry processes against 48 stand-in instances.

--- a/cmd/pointport/main.go
+++ b/cmd/pointport/main.go
@@ -21,6 +21,7 @@
 		subcommands.Register(c, "queries")
 	}
 	subcommands.Register(cli.Standin(), "trials")
+	subcommands.Register(cli.Load(), "trials")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/experiments/run.sh
@@ -0,0 +1,156 @@
+#!/usr/bin/env bash
+# Runs the experiments of docs/MEASUREMENTS.md on loopback: a stand-in platform
+# with 48 instances of 8 slots in four availability zones, and nine entry
+# instances as processes of their own. Prints rows for the page's tables.
+#
+#   experiments/run.sh NAME...    names: steady burst zone-loss drain claims
+#
+# CHOOSER, SERVICE_TIME and SECONDS_EACH change the entry instances' chooser,
+# how long an instance runs a request, and how long each load lasts.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(mktemp -d)
+pids=()
+cleanup() {
+	for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+	rm -rf "$bin"
+}
+trap cleanup EXIT
+go build -o "$bin" ./cmd/...
+
+platform_port=7300
+service_time=${SERVICE_TIME:-100ms}
+seconds=${SECONDS_EACH:-10}
+chooser=${CHOOSER:-forecast}
+zones=zone-a,zone-b,zone-c,zone-d
+entry_zones=(zone-a zone-a zone-a zone-b zone-b zone-c zone-c zone-d zone-d)
+declare -A entry_pid
+targets=
+
+# start_cluster starts the stand-in and the entry instances.
+start_cluster() {
+	"$bin/pointport" standin -listen=127.0.0.1:$platform_port -zones=$zones -instances=12 \
+		-service-time="$service_time" -reboot-time=2s 2>"$bin/standin.log" &
+	pids+=($!)
+	sleep 1
+	targets=
+	for n in "${!entry_zones[@]}"; do
+		local base=$((8300 + 10 * n))
+		"$bin/pointportd" serve -platform=http://127.0.0.1:$platform_port -name=entry-$n \
+			-zone="${entry_zones[$n]}" -zones=$zones -chooser="$chooser" \
+			-callers=127.0.0.1:$base -operators=127.0.0.1:$((base + 1)) -metrics=127.0.0.1:$((base + 2)) \
+			-connections-own=${OWN:-16} -log-level=warn 2>"$bin/entry-$n.log" &
+		pids+=($!)
+		entry_pid[$n]=$!
+		targets=$targets${targets:+,}http://127.0.0.1:$base
+	done
+	sleep 2
+	"$bin/pointport" apply -server=http://127.0.0.1:8301 -f experiments/tips.yaml >/dev/null
+	sleep 6
+}
+
+stop_cluster() {
+	for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	pids=()
+}
+
+# send LABEL RATE [FLAGS...] sends load to the entry instances.
+send() {
+	local label=$1 rate=$2
+	shift 2
+	"$bin/pointport" load -targets="$targets" -path=/tips -rate="$rate" -for="${seconds}s" -o=row -label="$label" "$@"
+}
+
+# send_direct LABEL RATE sends load straight to the upstreams, in turn.
+send_direct() {
+	"$bin/pointport" load -direct=http://127.0.0.1:$platform_port -path=/tips -rate="$2" -for="${seconds}s" -o=row -label="$1"
+}
+
+runs() { curl -s http://127.0.0.1:$platform_port/standin/runs; }
+counts() { curl -s http://127.0.0.1:$platform_port/standin/counts; }
+
+header() {
+	echo "| run ($chooser) | sent | answers/s | refused | unknown or failed | broken | p50 ms | p99 ms | p99.9 ms | refusal p50 ms | refusal p99 ms |"
+	echo "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+}
+
+steady() {
+	start_cluster
+	header
+	send_direct "direct, 1000/s" 1000
+	send "pointport, 1000/s" 1000
+	send_direct "direct, 2500/s" 2500
+	send "pointport, 2500/s" 2500
+	runs
+	stop_cluster
+}
+
+burst() {
+	start_cluster
+	header
+	send "before, 2500/s" 2500
+	send "burst, 11500/s" 11500
+	send "after, 2500/s" 2500
+	runs
+	stop_cluster
+}
+
+zone_loss() {
+	start_cluster
+	header
+	send "before, 2000/s" 2000
+	(
+		sleep 2
+		for n in 00 01 02 03 04 05 06 07 08 09 10 11; do
+			curl -s -X POST "http://127.0.0.1:$platform_port/standin/instances/zone-d-$n/kill" >/dev/null
+		done
+		kill -9 "${entry_pid[7]}" "${entry_pid[8]}"
+	) &
+	send "zone-d lost after 2 s, 2000/s" 2000
+	send "without zone-d, 2000/s" 2000
+	stop_cluster
+}
+
+drain() {
+	start_cluster
+	header
+	"$bin/pointport" wave -server=http://127.0.0.1:8301 -template=tips start rolling >/dev/null
+	SECONDS=0
+	local old=$seconds
+	seconds=60
+	send "wave over all 48 instances, 1500/s" 1500
+	seconds=$old
+	"$bin/pointport" status -server=http://127.0.0.1:8301 | grep -E 'WAVE|rolling'
+	runs
+	stop_cluster
+}
+
+claims() {
+	echo "| keyed requests/s | claimed and answered | store writes | writes per request | conflicts | p50 ms | p99 ms | ran twice |"
+	echo "| --- | --- | --- | --- | --- | --- | --- | --- |"
+	for rate in 20 100 400 1000; do
+		start_cluster
+		local before after row
+		before=$(counts)
+		row=$("$bin/pointport" load -targets="$targets" -path=/payout -method=POST -keyed -repeat=0.2 \
+			-rate=$rate -for="${seconds}s" -o=json)
+		after=$(counts)
+		python3 experiments/claims.py "$rate" "$before" "$after" "$row" "$(runs)"
+		stop_cluster
+	done
+}
+
+for name in "$@"; do
+	case $name in
+	steady) steady ;;
+	burst) burst ;;
+	zone-loss) zone_loss ;;
+	drain) drain ;;
+	claims) claims ;;
+	*)
+		echo "$name: must be one of steady, burst, zone-loss, drain, claims" >&2
+		exit 2
+		;;
+	esac
+done
