Make the test of a falling share reach the second look

Cause: with a share that alternated, the second look was never reached with room, so the test passed on the fault that it is for. Change: the share changes by a seeded chance. Seen: the test panics on a second look, and passes without it.

--- a/dispatch/service_test.go
+++ b/dispatch/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -447,11 +448,8 @@
 // none, because the share had fallen between two looks, and waited for ever.)
 func TestShareFallsAtAnyLook(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		looks := 0
-		s := newService(t, "upstream: {slots: 1}\n", 1, dispatch.WithShare(func(pointport.ZoneID) int {
-			looks++
-			return looks % 2
-		}))
+		chance := rand.New(rand.NewPCG(1, 2))
+		s := newService(t, "upstream: {slots: 1}\n", 1, dispatch.WithShare(func(pointport.ZoneID) int { return chance.IntN(2) }))
 		const requests = 20
 		results := make(chan error, requests)
 		for range requests {
