--- /dev/null
+++ b/assign/bench_test.go
@@ -0,0 +1,114 @@
+package assign_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/assign"
+	"github.com/pointport/pointport/config"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md that belong to a zone's
+// planner: state, time and stored bytes for each instance.
+
+var sizes = []int{250, 500, 1000, 2000}
+
+// poolsPerZone is how many pools share a zone's instances: the letter's 51.
+const poolsPerZone = 51
+
+// fleet returns the list of a zone of n instances and templates for its pools.
+func fleet(n int, now time.Time) ([]pointport.Instance, []*config.Template) {
+	var list []pointport.Instance
+	for i := range n {
+		list = append(list, pointport.Instance{
+			ID: pointport.InstanceID(fmt.Sprintf("zone-a-%05d", i)), Address: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250),
+			Region: "region-1", Zone: "zone-a", Rack: fmt.Sprintf("zone-a-rack-%d", i/4), Boots: 1,
+			Shape: pointport.Shape{CPUMilli: 16000, MemoryMiB: 32768}, State: pointport.InstanceLive, Reported: now,
+		})
+	}
+	var templates []*config.Template
+	for p := range poolsPerZone {
+		text := fmt.Sprintf("kind: Template\nname: pool-%d\npool: {size: %d}\nmaintenance: {period: 1008h}\n", p, n/poolsPerZone)
+		objects, err := config.Parse("bench", []byte(text))
+		if err != nil {
+			panic(err)
+		}
+		templates = append(templates, objects[0].Template())
+	}
+	return list, templates
+}
+
+// settle returns the state of a zone at rest.
+func settle(in assign.Input) *assign.State {
+	for {
+		c := assign.Decide(in)
+		if c.Empty() {
+			return in.State
+		}
+		c.Version = in.State.Version() + 1
+		next, err := in.State.Apply(c)
+		if err != nil {
+			panic(err)
+		}
+		in.State = next
+	}
+}
+
+func inputOf(n int) assign.Input {
+	now := time.Unix(1_800_000_000, 0)
+	list, templates := fleet(n, now)
+	in := assign.Input{
+		Now: now, Zone: "zone-a", Zones: []pointport.ZoneID{"zone-a"}, State: assign.NewState(),
+		Templates: templates, Listed: list, Share: func(*config.Template) int { return 2 },
+	}
+	in.State = settle(in)
+	return in
+}
+
+// BenchmarkDecide measures a decision at rest.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range sizes {
+		in := inputOf(n)
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				assign.Decide(in)
+			}
+		})
+	}
+}
+
+// BenchmarkState measures what a zone's state takes in memory and in the store.
+func BenchmarkState(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for b.Loop() {
+				data, err := json.Marshal(inputOf(n).State)
+				if err != nil {
+					b.Fatal(err)
+				}
+				before := heap()
+				var back assign.State
+				if err := json.Unmarshal(data, &back); err != nil {
+					b.Fatal(err)
+				}
+				after := heap()
+				b.ReportMetric(float64(len(data)), "stored-B")
+				b.ReportMetric(float64(after-before), "heap-B")
+				runtime.KeepAlive(&back)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/assign/size.go
+++ b/assign/size.go
@@ -134,7 +134,7 @@
 	for _, other := range d.in.Templates {
 		for surplus := len(d.held(other)) - d.need(other); surplus > 0 && coming < missing; surplus-- {
 			m, ok := d.leastMissed(other)
-			if !ok || !m.Shape.Fits(t.Pool.Shape) {
+			if !ok || !m.Shape.Fits(t.Pool.Shape) || d.budgetRoom(other) <= 0 {
 				break
 			}
 			m.Phase, m.Moving = Draining, true
@@ -164,7 +164,7 @@
 	}
 	for ; surplus > 0; surplus-- {
 		m, ok := d.leastMissed(t)
-		if !ok {
+		if !ok || d.budgetRoom(t) <= 0 {
 			return
 		}
 		m.Phase, m.Moving = Draining, true
--- /dev/null
+++ b/claim/bench_test.go
@@ -0,0 +1,69 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport/claim"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/memory"
+)
+
+// BenchmarkIndex measures what each kept claim takes in memory and in the
+// store, by how many are kept.
+func BenchmarkIndex(b *testing.B) {
+	for _, n := range []int{5000, 20000, 80000} {
+		b.Run(fmt.Sprint("claims=", n), func(b *testing.B) {
+			for b.Loop() {
+				fillBook(b, n)
+			}
+		})
+	}
+}
+
+func fillBook(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := memory.New(clock.System{})
+	before := heap()
+	book := claim.Start(ctx, store, clock.System{}, "a", claim.WithWrites(1e6, time.Millisecond))
+	work := make(chan int)
+	done := make(chan struct{})
+	const callers = 256
+	for range callers {
+		go func() {
+			for k := range work {
+				t, err := book.Claim(ctx, key(k))
+				if err != nil {
+					b.Error(err)
+				} else {
+					t.Settle(claim.Ran, 200)
+				}
+			}
+			done <- struct{}{}
+		}()
+	}
+	for k := range n {
+		work <- k
+	}
+	close(work)
+	for range callers {
+		<-done
+	}
+	stored := store.Stored()
+	b.ReportMetric(float64(heap()-before-stored)/float64(n), "heap-B/claim")
+	b.ReportMetric(float64(stored)/float64(n), "stored-B/claim")
+	b.ReportMetric(float64(store.Counts().Writes)/float64(n), "writes/claim")
+	runtime.KeepAlive(book)
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,50 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/dispatch"
+)
+
+// BenchmarkAcquire measures a grant and its end, by the number of upstreams,
+// and what a service takes in memory.
+func BenchmarkAcquire(b *testing.B) {
+	objects, err := config.Parse("bench", []byte("kind: Template\nname: tips\n"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	tpl := objects[0].Template()
+	for _, n := range []int{10, 50, 500, 2000} {
+		before := heap()
+		s := dispatch.New("tips", clock.System{}, tpl, dispatch.WithZone("zone-a"))
+		s.Update(tpl, targets(n))
+		held := heap() - before
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			r := dispatch.Request{Priority: config.Normal, Deadline: time.Now().Add(time.Hour)}
+			for b.Loop() {
+				g, err := s.Acquire(context.Background(), r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				g.End(dispatch.Succeeded, time.Millisecond)
+			}
+			b.ReportMetric(float64(held), "heap-B")
+		})
+		runtime.KeepAlive(s)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -23,9 +23,11 @@
 	serviceWeight = 0.05
 	// capacityAge is how long a computed capacity stays good.
 	capacityAge = 100 * time.Millisecond
-	// retryFloor is how many retries may be saved up, and what a service
-	// starts with.
-	retryFloor = 10
+	// firstRetries is how many retries a service starts with.
+	firstRetries = 10
+	// maxRetries is how many may be saved up: enough for what is in flight at a
+	// few upstreams that are lost at once.
+	maxRetries = 100
 	// retryAfterEmpty is what callers are told when no upstream is known.
 	retryAfterEmpty = 2 * time.Second
 	// reserveFactor is how many times the mean latency a request must have left.
@@ -141,7 +143,7 @@
 		share:   func(pointport.ZoneID) int { return template.Upstream.Connections },
 		logger:  slog.New(slog.DiscardHandler),
 		byID:    make(map[pointport.InstanceID]*upstream),
-		retries: retryFloor,
+		retries: firstRetries,
 	}
 	for _, o := range options {
 		o(s)
@@ -444,7 +446,7 @@
 		}
 		u.succeed(now, latency, s.template.Upstream.Slots)
 		s.latency = blend(s.latency, latency, serviceWeight)
-		s.retries = min(s.retries+s.template.Retry.Ratio, retryFloor)
+		s.retries = min(s.retries+s.template.Retry.Ratio, maxRetries)
 	case NotRun:
 		u.refuse(now)
 	case Failed:
--- a/memory/store.go
+++ b/memory/store.go
@@ -118,6 +118,17 @@
 	return len(s.entries)
 }
 
+// Stored returns how many bytes all values have together.
+func (s *Store) Stored() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for _, e := range s.entries {
+		n += int64(len(e.Value()))
+	}
+	return n
+}
+
 // call runs one operation under its fault.
 func (s *Store) call(ctx context.Context, op, key string, run func() error) error {
 	if err := ctx.Err(); err != nil {
