Index the members of each pool while deciding

Change: a decision keeps each pool's members in order. Seen: go test ./assign -bench Decide, 2000 instances, both beside other load: 40.7 ms and 9.3 MB before, 7.9 ms and 4.4 MB after.

--- a/assign/decide.go
+++ b/assign/decide.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -61,6 +63,8 @@
 	waves  map[string]Wave
 	pools  map[string]Pool
 	tpl    map[string]*config.Template
+	// byPool holds each pool's members by name, as they are now.
+	byPool map[string][]Member
 }
 
 // Decide returns what to do next, without ID, version, author and time.
@@ -73,6 +77,7 @@
 		waves:  make(map[string]Wave),
 		pools:  make(map[string]Pool),
 		tpl:    make(map[string]*config.Template, len(in.Templates)),
+		byPool: make(map[string][]Member, len(in.Templates)+1),
 	}
 	for _, i := range in.Listed {
 		d.listed[i.ID] = i
@@ -82,6 +87,10 @@
 		d.order = append(d.order, id)
 	}
 	sort.Slice(d.order, func(a, b int) bool { return d.order[a] < d.order[b] })
+	for _, id := range d.order {
+		m := d.member[id]
+		d.byPool[m.Pool] = append(d.byPool[m.Pool], m)
+	}
 	for _, t := range in.Templates {
 		d.tpl[t.Name] = t
 	}
@@ -118,6 +127,10 @@
 		m.Since = d.in.Now
 	}
 	d.member[m.ID] = m
+	if known {
+		d.leavePool(before)
+	}
+	d.joinPool(m)
 	if n, ok := d.stepOf[m.ID]; ok {
 		d.steps[n].After = &m
 		d.steps[n].Reason += "; " + reason
@@ -133,6 +146,7 @@
 // forget removes a member.
 func (d *decision) forget(id pointport.InstanceID, reason string) {
 	d.steps = append(d.steps, Step{Instance: id, From: describe(d.member[id]), Reason: reason})
+	d.leavePool(d.member[id])
 	delete(d.member, id)
 }
 
@@ -156,15 +170,26 @@
 	}
 }
 
-// in returns the members of a pool.
-func (d *decision) inPool(pool string) []Member {
-	var out []Member
-	d.each(func(m Member) {
-		if m.Pool == pool {
-			out = append(out, m)
-		}
+// inPool returns the members of a pool by name; those in none, if it is empty.
+// The slice is the decision's own and changes with the next step.
+func (d *decision) inPool(pool string) []Member { return d.byPool[pool] }
+
+// place returns where a member is, or would be, in its pool.
+func (d *decision) place(m Member) (int, bool) {
+	return slices.BinarySearchFunc(d.byPool[m.Pool], m.ID, func(m Member, id pointport.InstanceID) int {
+		return strings.Compare(string(m.ID), string(id))
 	})
-	return out
+}
+
+func (d *decision) leavePool(m Member) {
+	if n, ok := d.place(m); ok {
+		d.byPool[m.Pool] = slices.Delete(d.byPool[m.Pool], n, n+1)
+	}
+}
+
+func (d *decision) joinPool(m Member) {
+	n, _ := d.place(m)
+	d.byPool[m.Pool] = slices.Insert(d.byPool[m.Pool], n, m)
 }
 
 // works reports whether a member is known to take work now.
--- a/assign/size.go
+++ b/assign/size.go
@@ -102,15 +102,15 @@
 	racks := d.perRack(t)
 	var best Member
 	found := false
-	d.each(func(m Member) {
+	for _, m := range d.inPool("") {
 		i, listed := d.listed[m.ID]
 		if m.Phase != Spare || !m.Shape.Fits(t.Pool.Shape) || !listed || i.State != pointport.InstanceLive {
-			return
+			continue
 		}
 		if !found || racks[m.Rack] < racks[best.Rack] {
 			best, found = m, true
 		}
-	})
+	}
 	return best, found
 }
 
--- a/experiments/run.sh
+++ b/experiments/run.sh
@@ -5,8 +5,9 @@
 #
 #   experiments/run.sh NAME...    names: steady burst zone-loss drain claims
 #
-# CHOOSER, SERVICE_TIME and SECONDS_EACH change the entry instances' chooser,
-# how long an instance runs a request, and how long each load lasts.
+# CHOOSER, OWN, OTHER, SERVICE_TIME and SECONDS_EACH change the entry instances'
+# chooser and fixed shares of connections, how long an instance runs a request,
+# and how long each load lasts.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$(mktemp -d)
@@ -39,7 +40,7 @@
 		"$bin/pointportd" serve -platform=http://127.0.0.1:$platform_port -name=entry-$n \
 			-zone="${entry_zones[$n]}" -zones=$zones -chooser="$chooser" \
 			-callers=127.0.0.1:$base -operators=127.0.0.1:$((base + 1)) -metrics=127.0.0.1:$((base + 2)) \
-			-connections-own=${OWN:-16} -log-level=warn 2>"$bin/entry-$n.log" &
+			-connections-own="${OWN:-16}" -connections-other="${OTHER:-0}" -log-level=warn 2>"$bin/entry-$n.log" &
 		pids+=($!)
 		entry_pid[$n]=$!
 		targets=$targets${targets:+,}http://127.0.0.1:$base
