Read the platform's list as often as its bytes allow

Cause: a zone's list of 2000 instances is about 500 KB; a planner that reads it every second and entry instances that read all zones every two seconds are far over 3 KB a second. Change: the list is asked for in compressed form, for the own zone only, and no more often than -list-bytes allows; the client counts calls and bytes. What operators change is planned at once by the list as last read. Seen: go test ./daemon passes.

--- a/daemon/feeder.go
+++ b/daemon/feeder.go
@@ -68,10 +68,11 @@
 // pollList reads the platform's list, which lags, for signs of leaving.
 func (f *feeder) pollList(ctx context.Context) {
 	for ctx.Err() == nil {
-		list, err := f.entry.platform.Instances(ctx, "")
+		// Other zones' instances are known by their planners' logs.
+		list, err := f.entry.platform.Instances(ctx, pointport.ZoneID(f.entry.settings.zone))
 		f.take(ctx, list, err)
 		select {
-		case <-f.entry.clock.After(f.entry.settings.refresh):
+		case <-f.entry.clock.After(f.entry.listPause()):
 		case <-ctx.Done():
 		}
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -30,6 +30,7 @@
 	notice     time.Duration
 	stopBound  time.Duration
 	refresh    time.Duration
+	listRate   int
 	ownShare   int
 	otherShare int
 	elastic    int
@@ -55,7 +56,8 @@
 	set.OneOf(&s.logFormat, "log-format", "text", "format of the log", "text", "json")
 	set.Duration(&s.notice, "stop-notice", 5*time.Second, "how long a planned stop goes on taking requests after readiness is off, for the balancer to notice", 0, 10*time.Minute)
 	set.Duration(&s.stopBound, "stop-bound", time.Minute, "how long a planned stop waits for requests in flight", time.Second, time.Hour)
-	set.Duration(&s.refresh, "refresh", 2*time.Second, "how often the platform's list of instances is read", 100*time.Millisecond, time.Minute)
+	set.Duration(&s.refresh, "refresh", 2*time.Second, "how often the platform's list of instances is read, if -list-bytes allows", 100*time.Millisecond, time.Minute)
+	set.Int(&s.listRate, "list-bytes", 1024, "bytes a second that reading the platform's list may take on average, by the entry instance and by its planner each", 1, 1<<30)
 	set.Int(&s.ownShare, "connections-own", 12, "connections to each upstream of the own availability zone that are always allowed", 1, 10000)
 	set.Int(&s.otherShare, "connections-other", 0, "connections to each upstream of another availability zone that are always allowed", 0, 10000)
 	set.Int(&s.elastic, "connections-elastic", 16, "connections to each upstream that entry instances lease from each other when they need more; the same at every entry instance", 0, 10000)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -49,6 +49,7 @@
 // A ConfigSource gives the configuration in force.
 type ConfigSource interface {
 	State() *config.State
+	Changed() <-chan struct{}
 }
 
 // A Planner plans one availability zone.
@@ -62,11 +63,12 @@
 	election Election
 	logger   *slog.Logger
 	author   string
-	interval time.Duration
+	pause    func() time.Duration
 
-	seen tracker
-	held bool
-	cut  bool
+	seen   tracker
+	listed []pointport.Instance // as last read
+	held   bool
+	cut    bool
 }
 
 // An Option changes a Planner.
@@ -75,8 +77,8 @@
 // WithLogger sets where events go.
 func WithLogger(l *slog.Logger) Option { return func(p *Planner) { p.logger = l } }
 
-// WithInterval sets how often the planner looks.
-func WithInterval(d time.Duration) Option { return func(p *Planner) { p.interval = d } }
+// WithPause sets how long the planner waits between two looks.
+func WithPause(pause func() time.Duration) Option { return func(p *Planner) { p.pause = pause } }
 
 // WithAuthor sets the name under which the planner writes.
 func WithAuthor(a string) Option { return func(p *Planner) { p.author = a } }
@@ -85,7 +87,7 @@
 func New(clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
 	p := &Planner{
 		zone: zone, zones: zones, clock: clock, fleet: fleet, configs: configs, log: log,
-		election: election, logger: slog.New(slog.DiscardHandler), author: "planner", interval: DefaultInterval,
+		election: election, logger: slog.New(slog.DiscardHandler), author: "planner", pause: func() time.Duration { return DefaultInterval },
 		seen: newTracker(),
 	}
 	for _, o := range options {
@@ -98,25 +100,39 @@
 func Start(ctx context.Context, clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
 	p := New(clock, zone, zones, fleet, configs, log, election, options...)
 	go func() {
-		for ctx.Err() == nil {
-			p.tick(ctx)
+		p.run(ctx)
+	}()
+	return p
+}
+
+// run looks again and again. What an operator asks for does not wait for the
+// list to be read again: it is decided on by the list as it was last read, which
+// lags in any case.
+func (p *Planner) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.tick(ctx, p.Round)
+		next := p.clock.After(p.pause())
+		for waiting := true; waiting && ctx.Err() == nil; {
+			changed := p.configs.Changed()
 			select {
-			case <-clock.After(p.interval):
+			case <-next:
+				waiting = false
+			case <-changed:
+				p.tick(ctx, p.replan)
 			case <-ctx.Done():
 			}
 		}
-	}()
-	return p
+	}
 }
 
 // tick does a round if this process plans, and logs what changed about that.
-func (p *Planner) tick(ctx context.Context) {
+func (p *Planner) tick(ctx context.Context, round func(context.Context) error) {
 	held := p.election.Held()
 	if held != p.held {
 		p.held = held
 		if held {
 			event.PlannerElected.Log(p.logger, slog.String("zone", string(p.zone)))
-			p.seen = newTracker()
+			p.seen, p.listed = newTracker(), nil
 		} else {
 			event.PlannerLost.Log(p.logger, slog.String("zone", string(p.zone)))
 		}
@@ -124,7 +140,7 @@
 	if !held {
 		return
 	}
-	err := p.Round(ctx)
+	err := round(ctx)
 	if err != nil && !p.cut && ctx.Err() == nil {
 		event.PlanFailed.Log(p.logger, slog.Any("error", err))
 	}
@@ -151,16 +167,29 @@
 	if err != nil {
 		return err
 	}
-	now := p.clock.Now()
-	state := p.log.State()
-	p.seen.look(now, state, listed)
-	change := assign.Decide(p.input(now, state, listed))
+	p.listed = listed
+	p.seen.look(p.clock.Now(), p.log.State(), listed)
+	return p.decide(ctx, p.log.State())
+}
+
+// replan decides by the list as it was last read.
+func (p *Planner) replan(ctx context.Context) error {
+	if p.listed == nil {
+		return nil
+	}
+	return p.decide(ctx, p.log.State())
+}
+
+// decide decides on state, commits and tells the platform.
+func (p *Planner) decide(ctx context.Context, state *assign.State) error {
+	change := assign.Decide(p.input(p.clock.Now(), state, p.listed))
 	if !change.Empty() {
+		var err error
 		if state, err = p.commit(ctx, state, change); err != nil {
 			return err
 		}
 	}
-	return p.tell(ctx, state, listed)
+	return p.tell(ctx, state, p.listed)
 }
 
 func (p *Planner) input(now time.Time, state *assign.State, listed []pointport.Instance) assign.Input {
--- a/remote/client.go
+++ b/remote/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,6 +19,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -41,6 +43,8 @@
 	http    *http.Client
 	timeout time.Duration
 	watch   time.Duration
+
+	calls, sent, received, listBytes atomic.Int64
 }
 
 var (
@@ -65,14 +69,15 @@
 // New returns a client of the platform at base, such as http://10.0.0.1:7000.
 func New(base string, options ...Option) *Client {
 	c := &Client{
-		base: strings.TrimSuffix(base, "/"),
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
-		}},
+		base:    strings.TrimSuffix(base, "/"),
 		timeout: DefaultTimeout,
 		watch:   DefaultWatch,
 	}
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext:         c.dial,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     time.Minute,
+	}}
 	for _, o := range options {
 		o(c)
 	}
@@ -88,6 +93,8 @@
 	body    []byte
 	timeout time.Duration
 	changes bool // whether the call changes something
+	// compressed asks for a compressed answer and notes its size.
+	compressed bool
 }
 
 // do makes a call and decodes its answer into out, unless out is nil.
@@ -107,6 +114,10 @@
 	}
 	// A request with GetBody set may be sent twice by the transport.
 	req.GetBody = nil
+	if k.compressed {
+		req.Header.Set("Accept-Encoding", "gzip")
+	}
+	c.calls.Add(1)
 	res, err := c.http.Do(req)
 	if err != nil {
 		return &pointport.UnavailableError{Op: k.op, Key: k.key, Ambiguous: k.changes && !dialFailed(err), Err: err}
@@ -116,9 +127,30 @@
 	if err != nil {
 		return &pointport.UnavailableError{Op: k.op, Key: k.key, Ambiguous: k.changes, Err: err}
 	}
+	if k.compressed {
+		c.listBytes.Store(int64(len(data)))
+		if data, err = expand(res, data); err != nil {
+			return &pointport.UnavailableError{Op: k.op, Key: k.key, Err: err}
+		}
+	}
 	return k.decode(res.StatusCode, data, out)
 }
 
+// maxList bounds a list of instances once it is expanded, in bytes.
+const maxList = 64 << 20
+
+// expand returns the body of an answer that may be compressed.
+func expand(res *http.Response, data []byte) ([]byte, error) {
+	if res.Header.Get("Content-Encoding") != "gzip" {
+		return data, nil
+	}
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(z, maxList))
+}
+
 // dialFailed reports whether err came before a connection stood.
 func dialFailed(err error) bool {
 	var op *net.OpError
--- a/remote/fleet.go
+++ b/remote/fleet.go
@@ -12,12 +12,13 @@
 
 // This file defines the calls about instances and tasks.
 
-// Instances returns the platform's list for zone, or all of it.
+// Instances returns the platform's list for zone, or all of it. The list is
+// asked for in compressed form, since most of it repeats itself.
 func (c *Client) Instances(ctx context.Context, zone pointport.ZoneID) ([]pointport.Instance, error) {
 	var list []pointport.Instance
 	err := c.do(ctx, call{
 		op: "instances", key: string(zone), method: http.MethodGet, path: "/v1/instances",
-		query: url.Values{"zone": {string(zone)}},
+		query: url.Values{"zone": {string(zone)}}, compressed: true,
 	}, &list)
 	return list, err
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -170,7 +172,15 @@
 
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	list, err := p.fleet.Instances(r.Context(), pointport.ZoneID(r.URL.Query().Get("zone")))
-	reply(w, list, err)
+	if err != nil || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		reply(w, list, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_ = json.NewEncoder(z).Encode(list)
+	_ = z.Close()
 }
 
 // steer returns the handler of a call that is fenced by a boot count.
