Test planners and logs against deaths, pauses, races and lost answers

Cause: that a planner may die between any two writes, or be paused past its lease, was a claim without a test. Change: a fake fleet at the interface; planners that die before each of their first 60 calls with and without effect, two planners at once, a pause between decision and write, an hour without the store, a drain that never empties, instances that do not come back, a list that misses instances. A property over operators who race through three nodes while the store loses answers.

--- /dev/null
+++ b/changelog/log_test.go
@@ -0,0 +1,187 @@
+package changelog_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/changelog"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/command"
+	"github.com/pointport/pointport/config"
+	_ "github.com/pointport/pointport/internal/fixedseed"
+	"github.com/pointport/pointport/memory"
+)
+
+type configLog = changelog.Log[*config.State, config.Change]
+
+func small(store *memory.Store) *configLog {
+	return changelog.New[*config.State, config.Change](store, clock.System{}, "config", config.NewState(), changelog.WithSegment(3, 2, 4))
+}
+
+func configure(log *configLog, id, name string, weight int, read config.Version) (config.Change, error) {
+	objects, err := config.Parse("test", fmt.Appendf(nil, "kind: Parameters\nname: %s\nweight: %d\n", name, weight))
+	if err != nil {
+		return config.Change{}, err
+	}
+	return command.Configure(context.Background(), log, clock.System{}, command.Proposal{ID: id, Author: "ana", Object: &objects[0], Read: read})
+}
+
+// TestOperatorsRace lets operators change objects through several nodes while
+// the store fails and loses answers. What was accepted stays, each accepted
+// change follows on the version that its author read, no change is made twice,
+// and a node never goes back.
+func TestOperatorsRace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := memory.New(clock.System{})
+		nodes := []*configLog{small(store), small(store), small(store)}
+		last := make([]config.Version, len(nodes))
+		accepted := make(map[string]config.Version)
+		for n := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			faults := rapid.SliceOfN(rapid.SampledFrom([]memory.Fault{
+				memory.FaultNone, memory.FaultNone, memory.FaultNone, memory.FaultBefore, memory.FaultLostAnswer, memory.FaultLostCall,
+			}), 0, 6).Draw(t, "faults")
+			store.SetInjector(func(string, string) memory.Fault {
+				if len(faults) == 0 {
+					return memory.FaultNone
+				}
+				f := faults[0]
+				faults = faults[1:]
+				return f
+			})
+			at := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "object")
+			_, read, _ := nodes[at].State().Get(config.KindParameters, name)
+			id := fmt.Sprint("change-", n)
+			c, err := configure(nodes[at], id, name, 1+n%100, read)
+			var race *config.RaceError
+			var unsettled *changelog.UnsettledError
+			switch {
+			case err == nil:
+				if c.From != read {
+					t.Fatalf("%s was accepted from version %d, its author read %d", id, c.From, read)
+				}
+				accepted[id] = c.Version
+			case errors.As(err, &race), errors.As(err, &unsettled):
+			default:
+				var down *pointport.UnavailableError
+				if !errors.As(err, &down) {
+					t.Fatal(err)
+				}
+			}
+			for i, node := range nodes {
+				if v := node.State().Version(); v < last[i] {
+					t.Fatalf("node %d went back from version %d to %d", i, last[i], v)
+				}
+				last[i] = nodes[i].State().Version()
+			}
+		}
+		store.SetInjector(func(string, string) memory.Fault { return memory.FaultNone })
+		checkAccepted(t, store, accepted)
+	})
+}
+
+// checkAccepted reads everything back by a new node.
+func checkAccepted(t *rapid.T, store *memory.Store, accepted map[string]config.Version) {
+	node := small(store)
+	if err := node.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	seen := make(map[string]bool)
+	changes, err := node.History(context.Background(), 1000, func(config.Change) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	oldest := config.Version(1)
+	if len(changes) > 0 {
+		oldest = changes[len(changes)-1].Version
+	}
+	for _, c := range changes {
+		if seen[c.ID] {
+			t.Fatalf("%s was made twice", c.ID)
+		}
+		seen[c.ID] = true
+		if v, ok := accepted[c.ID]; ok && v != c.Version {
+			t.Fatalf("%s was accepted as version %d and stands as %d", c.ID, v, c.Version)
+		}
+	}
+	for id, v := range accepted {
+		if v >= oldest && !seen[id] {
+			t.Fatalf("%s was accepted as version %d and is gone", id, v)
+		}
+		if v > node.State().Version() {
+			t.Fatalf("%s was accepted as version %d, the newest is %d", id, v, node.State().Version())
+		}
+	}
+}
+
+// TestFollowers counts how soon and at what cost followers see a change, also
+// after an outage and across sealed segments and snapshots.
+func TestFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New(clock.System{})
+		author := small(store)
+		var nodes []*configLog
+		for range 3 {
+			nodes = append(nodes, changelog.Start[*config.State, config.Change](t.Context(), store, clock.System{}, "config", config.NewState(), changelog.WithSegment(3, 2, 4)))
+		}
+		check := func(when string) {
+			time.Sleep(time.Second)
+			for i, n := range nodes {
+				if n.State().Version() != author.State().Version() {
+					t.Errorf("%s: node %d has version %d, the author %d", when, i, n.State().Version(), author.State().Version())
+				}
+			}
+		}
+		for n := range 20 {
+			if _, err := configure(author, "", "a", 1+n, command.AnyVersion); err != nil {
+				t.Fatal(err)
+			}
+			check(fmt.Sprint("change ", n))
+		}
+		store.SetInjector(func(string, string) memory.Fault { return memory.FaultBefore })
+		time.Sleep(time.Hour)
+		if got := nodes[0].State().Version(); got != 20 {
+			t.Errorf("during the outage version %d is in force, want 20", got)
+		}
+		store.SetInjector(func(string, string) memory.Fault { return memory.FaultNone })
+		if _, err := configure(author, "", "a", 50, command.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
+		check("after the outage")
+	})
+}
+
+// TestNeverBack gives a node a store that has gone back to an older state.
+func TestNeverBack(t *testing.T) {
+	store := memory.New(clock.System{})
+	node := small(store)
+	for n := range 2 {
+		if _, err := configure(node, "", "a", 1+n, command.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e, err := store.Get(t.Context(), "config.log.00000001")
+	if err != nil {
+		t.Fatal(err)
+	}
+	older := small(memory.New(clock.System{}))
+	if _, err := configure(older, "", "b", 9, command.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.CompareAndSwap(t.Context(), e.Key(), e.Revision(), []byte(`{"changes":[]}`)); err != nil {
+		t.Fatal(err)
+	}
+	if err := node.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if v := node.State().Version(); v != 2 {
+		t.Errorf("the node went back to version %d", v)
+	}
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,391 @@
+package planner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/assign"
+	"github.com/pointport/pointport/changelog"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/planner"
+)
+
+// A fakeFleet is the platform's list and its instances.
+type fakeFleet struct {
+	clock   *clock.Fake
+	order   []pointport.InstanceID
+	is      map[pointport.InstanceID]*pointport.Instance
+	back    map[pointport.InstanceID]time.Time
+	busy    map[pointport.InstanceID]bool // never falls idle
+	dead    map[pointport.InstanceID]bool // does not come back from a reboot
+	calls   int
+	failAt  int // the call that fails and all after it; zero for none
+	reboots map[pointport.InstanceID]int
+}
+
+var errFleet = errors.New("the platform does not answer")
+
+func newFakeFleet(c *clock.Fake, n int) *fakeFleet {
+	f := &fakeFleet{
+		clock: c, is: make(map[pointport.InstanceID]*pointport.Instance), back: make(map[pointport.InstanceID]time.Time),
+		busy: make(map[pointport.InstanceID]bool), dead: make(map[pointport.InstanceID]bool), reboots: make(map[pointport.InstanceID]int),
+	}
+	for i := range n {
+		id := pointport.InstanceID(fmt.Sprint("i", i))
+		f.order = append(f.order, id)
+		f.is[id] = &pointport.Instance{ID: id, Address: fmt.Sprint("10.0.0.1:", i), Zone: "zone-a", Rack: fmt.Sprint("r", i/2), Boots: 1, State: pointport.InstanceLive}
+	}
+	return f
+}
+
+func (f *fakeFleet) call() error {
+	f.calls++
+	if f.failAt > 0 && f.calls >= f.failAt {
+		return &pointport.UnavailableError{Op: "fleet", Err: errFleet}
+	}
+	return nil
+}
+
+func (f *fakeFleet) Instances(context.Context, pointport.ZoneID) ([]pointport.Instance, error) {
+	if err := f.call(); err != nil {
+		return nil, err
+	}
+	var out []pointport.Instance
+	for _, id := range f.order {
+		i := f.is[id]
+		if back, down := f.back[id]; down && !f.clock.Now().Before(back) && !f.dead[id] {
+			delete(f.back, id)
+			i.State = pointport.InstanceLive
+			i.Boots++
+		}
+		i.Reported = f.clock.Now()
+		i.InFlight = 0
+		if f.busy[id] {
+			i.InFlight = 1
+		}
+		out = append(out, *i)
+	}
+	return out, nil
+}
+
+func (f *fakeFleet) turn(id pointport.InstanceID, boots int64, act func(*pointport.Instance)) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	if i := f.is[id]; i.Boots == boots && i.State != pointport.InstanceDown {
+		act(i)
+	}
+	return nil
+}
+
+func (f *fakeFleet) Drain(_ context.Context, id pointport.InstanceID, boots int64) error {
+	return f.turn(id, boots, func(i *pointport.Instance) { i.State = pointport.InstanceLeaving })
+}
+
+func (f *fakeFleet) Restore(_ context.Context, id pointport.InstanceID, boots int64) error {
+	return f.turn(id, boots, func(i *pointport.Instance) { i.State = pointport.InstanceLive })
+}
+
+func (f *fakeFleet) Reboot(_ context.Context, id pointport.InstanceID, boots int64) error {
+	return f.turn(id, boots, func(i *pointport.Instance) {
+		i.State = pointport.InstanceDown
+		f.reboots[id]++
+		f.back[id] = f.clock.Now().Add(10 * time.Second)
+	})
+}
+
+// fixed is a configuration that does not change.
+type fixed struct{ state *config.State }
+
+func (f *fixed) State() *config.State       { return f.state }
+func (*fixed) Changed() <-chan struct{}     { return nil }
+func (f *fixed) add(t *testing.T, s string) { f.state = with(t, f.state, s) }
+
+func with(t *testing.T, s *config.State, text string) *config.State {
+	t.Helper()
+	objects, err := config.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := s.Apply(config.Change{ID: "c", Version: s.Version() + 1, Object: &objects[0]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// always holds the lease, as a paused holder thinks that it does.
+type always struct{}
+
+func (always) Held() bool { return true }
+
+// A scene is a zone with its platform and store.
+type scene struct {
+	clock *clock.Fake
+	fleet *fakeFleet
+	store *memory.Store
+	cfg   *fixed
+	names int
+}
+
+const budget = 2
+
+func newScene(t *testing.T, instances int) *scene {
+	c := clock.NewFake(time.Unix(1_800_000_000, 0))
+	s := &scene{clock: c, fleet: newFakeFleet(c, instances), store: memory.New(c), cfg: &fixed{config.NewState()}}
+	s.cfg.add(t, fmt.Sprintf("kind: Template\nname: pool\npool: {size: %d}\nmaintenance: {budget: \"%d\", speed: \"100%%\", drainQuiet: 2s, drainBound: 1m, returnBound: 1m}\n", instances, budget))
+	p := s.planner()
+	if err := p.Round(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	c.Advance(time.Second)
+	s.cfg.add(t, "kind: Wave\nname: wave\ntemplate: pool\n")
+	return s
+}
+
+func (s *scene) log() *planner.AssignLog {
+	return changelog.New[*assign.State, assign.Change](s.store, s.clock, planner.LogName("zone-a"), assign.NewState())
+}
+
+// planner returns a new planner of the zone, as after a restart.
+func (s *scene) planner() *planner.Planner {
+	s.names++
+	return planner.New(s.clock, "zone-a", []pointport.ZoneID{"zone-a"}, s.fleet, s.cfg, s.log(), always{}, planner.WithAuthor(fmt.Sprint("planner-", s.names)))
+}
+
+// out returns how many instances do not serve, in truth.
+func (s *scene) out() int {
+	n := 0
+	for _, i := range s.fleet.is {
+		if i.State != pointport.InstanceLive {
+			n++
+		}
+	}
+	return n
+}
+
+// run lets planners take turns until the wave has ended.
+func (s *scene) run(t *testing.T, planners ...*planner.Planner) assign.Wave {
+	t.Helper()
+	for n := range 2000 {
+		// A failed round is tried again; that is what the test is about.
+		_ = planners[n%len(planners)].Round(t.Context())
+		if s.out() > budget {
+			t.Fatalf("%d instances are out, the budget is %d", s.out(), budget)
+		}
+		s.clock.Advance(time.Second)
+		log := s.log()
+		if err := log.Refresh(t.Context()); err != nil {
+			continue
+		}
+		if w, ok := log.State().Wave("wave"); ok && (!w.Ended.IsZero() || w.Stopped != "") {
+			return w
+		}
+	}
+	t.Fatal("the wave neither ended nor stopped")
+	return assign.Wave{}
+}
+
+// checkOnce checks that every instance was rebooted once.
+func (s *scene) checkOnce(t *testing.T) {
+	t.Helper()
+	for _, id := range s.fleet.order {
+		if n := s.fleet.reboots[id]; n != 1 {
+			t.Errorf("%s was rebooted %d times", id, n)
+		}
+	}
+}
+
+func TestWaveOverAll(t *testing.T) {
+	s := newScene(t, 6)
+	if w := s.run(t, s.planner()); w.Done != 6 || w.FailedCount != 0 {
+		t.Errorf("the wave ended as %+v", w)
+	}
+	s.checkOnce(t)
+}
+
+// TestPlannerDiesAnywhere lets the planner die before each of its calls to the
+// platform or the store, with or without effect, and another go on.
+func TestPlannerDiesAnywhere(t *testing.T) {
+	for _, fault := range []memory.Fault{memory.FaultBefore, memory.FaultLostAnswer} {
+		for at := 1; at < 60; at++ {
+			s := newScene(t, 4)
+			calls := 0
+			s.store.SetInjector(func(op, _ string) memory.Fault {
+				calls++
+				if calls < at {
+					return memory.FaultNone
+				}
+				if calls == at && op == "cas" {
+					return fault
+				}
+				return memory.FaultBefore
+			})
+			first := s.planner()
+			for range 30 {
+				_ = first.Round(t.Context())
+				s.clock.Advance(time.Second)
+			}
+			s.store.SetInjector(func(string, string) memory.Fault { return memory.FaultNone })
+			w := s.run(t, s.planner())
+			if w.Done != 4 {
+				t.Fatalf("died at call %d: the wave ended as %+v", at, w)
+			}
+			s.checkOnce(t)
+		}
+	}
+}
+
+// TestPlatformFailsAnywhere lets the calls to the instances fail from each call
+// on, and come back.
+func TestPlatformFailsAnywhere(t *testing.T) {
+	for at := 1; at < 40; at++ {
+		s := newScene(t, 4)
+		s.fleet.calls, s.fleet.failAt = 0, at
+		p := s.planner()
+		for range 30 {
+			_ = p.Round(t.Context())
+			s.clock.Advance(time.Second)
+		}
+		s.fleet.failAt = 0
+		if w := s.run(t, p); w.Done != 4 {
+			t.Fatalf("failed from call %d on: the wave ended as %+v", at, w)
+		}
+		s.checkOnce(t)
+	}
+}
+
+// TestTwoPlanners lets two planners work at once.
+func TestTwoPlanners(t *testing.T) {
+	s := newScene(t, 6)
+	if w := s.run(t, s.planner(), s.planner()); w.Done != 6 {
+		t.Errorf("the wave ended as %+v", w)
+	}
+	s.checkOnce(t)
+}
+
+// TestPausedPlanner pauses a planner between its decision and its write, while
+// another takes a round. The paused one must do nothing.
+func TestPausedPlanner(t *testing.T) {
+	s := newScene(t, 6)
+	other := s.planner()
+	paused := true
+	s.store.SetInjector(func(op, _ string) memory.Fault {
+		if op == "cas" && paused {
+			paused = false
+			if err := other.Round(t.Context()); err != nil {
+				t.Errorf("the other planner: %v", err)
+			}
+		}
+		return memory.FaultNone
+	})
+	err := s.planner().Round(t.Context())
+	var lost *planner.LostError
+	if !errors.As(err, &lost) {
+		t.Errorf("the paused planner: got %v, want a LostError", err)
+	}
+	if n := s.out(); n != budget {
+		t.Errorf("%d instances are out, want the %d that the other planner took", n, budget)
+	}
+}
+
+// TestStoreDownInMidWave takes the store away. Nothing new may be told to the
+// platform until it is back.
+func TestStoreDownInMidWave(t *testing.T) {
+	s := newScene(t, 6)
+	p := s.planner()
+	for range 3 {
+		if err := p.Round(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		s.clock.Advance(time.Second)
+	}
+	s.store.SetInjector(func(string, string) memory.Fault { return memory.FaultBefore })
+	calls := s.fleet.calls
+	for range 3600 {
+		if err := p.Round(t.Context()); err == nil {
+			t.Fatal("a round went well without the store")
+		}
+		s.clock.Advance(time.Second)
+	}
+	if s.fleet.calls != calls {
+		t.Errorf("%d calls to the platform without the store", s.fleet.calls-calls)
+	}
+	s.store.SetInjector(func(string, string) memory.Fault { return memory.FaultNone })
+	if w := s.run(t, p); w.Done != 6 {
+		t.Errorf("the wave ended as %+v", w)
+	}
+	s.checkOnce(t)
+}
+
+// TestDrainThatNeverEmpties passes an instance by that keeps running something.
+func TestDrainThatNeverEmpties(t *testing.T) {
+	s := newScene(t, 4)
+	s.fleet.busy["i1"] = true
+	w := s.run(t, s.planner())
+	if w.Done != 3 || w.PassedCount != 1 || s.fleet.reboots["i1"] != 0 {
+		t.Errorf("the wave ended as %+v, i1 was rebooted %d times", w, s.fleet.reboots["i1"])
+	}
+	if i := s.fleet.is["i1"]; i.State != pointport.InstanceLive {
+		t.Errorf("the instance that was passed by is %s", i.State)
+	}
+}
+
+// TestWaveStopsItself lets a third of the instances not come back.
+func TestWaveStopsItself(t *testing.T) {
+	s := newScene(t, 12)
+	s.fleet.dead["i0"], s.fleet.dead["i1"] = true, true
+	p := s.planner()
+	for range 600 {
+		if err := p.Round(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		s.clock.Advance(time.Second)
+	}
+	// Two failures spend the whole budget, so nothing more is taken.
+	if n := s.out(); n != budget {
+		t.Errorf("%d instances are out", n)
+	}
+	for id, n := range s.fleet.reboots {
+		if n > 1 {
+			t.Errorf("%s was rebooted %d times", id, n)
+		}
+	}
+}
+
+// TestListedAsGone lets the list miss instances that serve, for a moment. That
+// must move nothing.
+func TestListedAsGone(t *testing.T) {
+	s := newScene(t, 4)
+	p := s.planner()
+	s.run(t, p)
+	log := s.log()
+	if err := log.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before := log.State().Version()
+	all := s.fleet.order
+	s.fleet.order = all[:1]
+	for range 20 {
+		if err := p.Round(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		s.clock.Advance(time.Second)
+	}
+	s.fleet.order = all
+	if err := p.Round(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if after := log.State().Version(); after != before {
+		t.Errorf("a list that missed instances for 20 s made %d changes", after-before)
+	}
+}
