Let operators in the property skip the question of a race

Cause: with every change fenced by the version read, a change that is not read back after a lost answer could not be made twice, so the property passed. Seen: without the look for the change's ID the property now fails; with it, go test ./changelog -rapid.checks=1000 passes. Without the version check of a planner's commit TestPausedPlanner fails; if a log may go back TestNeverBack fails.

--- a/changelog/log_test.go
+++ b/changelog/log_test.go
@@ -58,13 +58,16 @@
 			at := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
 			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "object")
 			_, read, _ := nodes[at].State().Get(config.KindParameters, name)
+			if rapid.Bool().Draw(t, "any version") {
+				read = command.AnyVersion
+			}
 			id := fmt.Sprint("change-", n)
 			c, err := configure(nodes[at], id, name, 1+n%100, read)
 			var race *config.RaceError
 			var unsettled *changelog.UnsettledError
 			switch {
 			case err == nil:
-				if c.From != read {
+				if read != command.AnyVersion && c.From != read {
 					t.Fatalf("%s was accepted from version %d, its author read %d", id, c.From, read)
 				}
 				accepted[id] = c.Version
