--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,7 @@
 	}
 	e.startRequests(ctx)
 	e.startControl(ctx)
+	e.registerMetrics()
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -40,14 +40,20 @@
 	t.Fatalf("waited %v in vain until %s", patience, what)
 }
 
+// newFlags returns flags that a set is registered with.
+func newFlags(set *settings.Set) *flag.FlagSet {
+	f := flag.NewFlagSet("serve", flag.ContinueOnError)
+	set.Register(f)
+	return f
+}
+
 // loadSettings returns the settings that args give.
 func loadSettings(t *testing.T, args ...string) *Settings {
 	t.Helper()
 	var s Settings
 	set := settings.New()
 	s.Define(set)
-	f := flag.NewFlagSet("serve", flag.ContinueOnError)
-	set.Register(f)
+	f := newFlags(set)
 	if err := f.Parse(args); err != nil {
 		t.Fatal(err)
 	}
