--- /dev/null
+++ b/experiments/capacity.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Measures what an entry instance spends at rest for control, for
+# docs/CAPACITY.md: processor time by the process's own clock, memory, calls and
+# bytes to the platform, by the number of instances in its availability zone.
+# Prints a row for each size and role. REST is how long it measures, in seconds.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(mktemp -d)
+pids=()
+cleanup() {
+	for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+	rm -rf "$bin"
+}
+trap cleanup EXIT
+go build -o "$bin" ./cmd/...
+rest=${REST:-30}
+tick=$(getconf CLK_TCK)
+
+metric() { curl -s "http://127.0.0.1:$1/metrics" | awk -v m="$2" 'index($0, m) == 1 { s += $2 } END { printf "%d", s }'; }
+cpu() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+memory() { awk -v k="$2:" '$1 == k { print $2 }' "/proc/$1/status"; }
+
+# measure SIZE ROLE PID METRICS_PORT prints a row.
+measure() {
+	local c0 b0 k0 c1 b1 k1
+	c0=$(cpu "$3") b0=$(metric "$4" pointport_platform_bytes_total) k0=$(metric "$4" pointport_platform_calls_total)
+	sleep "$rest"
+	c1=$(cpu "$3") b1=$(metric "$4" pointport_platform_bytes_total) k1=$(metric "$4" pointport_platform_calls_total)
+	awk -v s="$1" -v r="$2" -v c=$((c1 - c0)) -v t="$tick" -v e="$rest" -v b=$((b1 - b0)) -v k=$((k1 - k0)) \
+		-v rss="$(memory "$3" VmRSS)" -v anon="$(memory "$3" RssAnon)" \
+		'BEGIN { printf "| %d | %s | %.2f%% | %.0f | %.2f | %.1f | %.1f |\n", s, r, 100 * c / t / e, b / e, k / e, rss / 1024, anon / 1024 }'
+}
+
+echo "| instances in the zone | role | of a core | bytes/s | calls/s | resident MB | of it anonymous MB |"
+echo "| --- | --- | --- | --- | --- | --- | --- |"
+for size in ${SIZES:-50 200 500}; do
+	"$bin/pointport" standin -listen=127.0.0.1:7400 -instances="$size" -list-lag=5s 2>/dev/null &
+	pids+=($!)
+	sleep 2
+	"$bin/pointportd" serve -platform=http://127.0.0.1:7400 -name=planner -log-level=error \
+		-callers=127.0.0.1:7410 -operators=127.0.0.1:7411 -metrics=127.0.0.1:7412 2>/dev/null &
+	planner=$!
+	pids+=("$planner")
+	"$bin/pointportd" serve -platform=http://127.0.0.1:7400 -name=entry -control=false -log-level=error \
+		-callers=127.0.0.1:7420 -operators=127.0.0.1:7421 -metrics=127.0.0.1:7422 2>/dev/null &
+	entry=$!
+	pids+=("$entry")
+	sleep 2
+	for pool in 0 1 2 3 4; do
+		printf 'kind: Template\nname: pool-%d\nroutes: [{pathPrefix: /pool-%d, repeatable: true}]\npool: {size: %d}\n---\n' "$pool" "$pool" $((size / 5))
+	done | "$bin/pointport" apply -server=http://127.0.0.1:7411 -f - >/dev/null
+	sleep 10
+	measure "$size" "entry instance that plans" "$planner" 7412 &
+	m=$!
+	measure "$size" "entry instance" "$entry" 7422
+	wait "$m"
+	for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	pids=()
+done
