Let zones take turns with a budget that does not divide among them

Cause: an even split of a budget smaller than the number of zones left some zones without any, whose instances no wave could ever take. Change: each zone may always spend an even share, rounded down; the rest floats in a ledger, one value for all pools. Taking raises the ledger before the zone's log, giving back lowers the log first, and a commit on the log is fenced by its version.

--- a/assign/decide.go
+++ b/assign/decide.go
@@ -69,8 +69,22 @@
 
 // Decide returns what to do next, without ID, version, author and time.
 func Decide(in Input) Change {
+	d := newDecision(&in)
+	d.welcome()
+	d.observe()
+	d.releaseUnknown()
+	for _, t := range in.Templates {
+		d.size(t)
+	}
+	for _, t := range in.Templates {
+		d.maintain(t)
+	}
+	return d.change()
+}
+
+func newDecision(in *Input) *decision {
 	d := &decision{
-		in:     &in,
+		in:     in,
 		listed: make(map[pointport.InstanceID]pointport.Instance, len(in.Listed)),
 		member: make(map[pointport.InstanceID]Member, len(in.State.members)),
 		stepOf: make(map[pointport.InstanceID]int),
@@ -94,16 +108,7 @@
 	for _, t := range in.Templates {
 		d.tpl[t.Name] = t
 	}
-	d.welcome()
-	d.observe()
-	d.releaseUnknown()
-	for _, t := range in.Templates {
-		d.size(t)
-	}
-	for _, t := range in.Templates {
-		d.maintain(t)
-	}
-	return d.change()
+	return d
 }
 
 func (d *decision) change() Change {
--- a/assign/maintain.go
+++ b/assign/maintain.go
@@ -49,11 +49,25 @@
 	if d.stopWave(t, w, o) {
 		return
 	}
-	due := func(m Member) bool { return m.Maintained.Before(w.Started) && m.Passed != w.Name }
+	due := dueInWave(w)
 	d.start(t, w.Name, due, o.Wave.Racks)
 	d.endWave(t, w.Name, due)
 }
 
+// dueInWave reports whether a wave has still to maintain a member.
+func dueInWave(w Wave) func(Member) bool {
+	return func(m Member) bool { return m.Maintained.Before(w.Started) && m.Passed != w.Name }
+}
+
+// dueByPeriod reports whether a member is due by its pool's period.
+func (d *decision) dueByPeriod(t *config.Template) func(Member) bool {
+	period := t.Maintenance.Period.D()
+	early := time.Duration(dueBefore * float64(period))
+	return func(m Member) bool {
+		return d.in.Now.Sub(m.Maintained) >= period-early && d.in.Now.Sub(m.Since) >= early
+	}
+}
+
 // stopWave stops a wave whose instances fail to come back.
 func (d *decision) stopWave(t *config.Template, w Wave, o WaveOrder) bool {
 	if w.FailedCount < t.Maintenance.StopAfter {
@@ -86,12 +100,7 @@
 	if w.FailedCount >= t.Maintenance.StopAfter {
 		return
 	}
-	period := t.Maintenance.Period.D()
-	early := time.Duration(dueBefore * float64(period))
-	due := func(m Member) bool {
-		return d.in.Now.Sub(m.Maintained) >= period-early && d.in.Now.Sub(m.Since) >= early
-	}
-	d.start(t, name, due, false)
+	d.start(t, name, d.dueByPeriod(t), false)
 }
 
 // start takes instances out of service while speed and budget allow.
--- a/assign/size.go
+++ b/assign/size.go
@@ -44,9 +44,15 @@
 	return Split(t.Pool.Spare.Up(t.Pool.Size), len(zones), indexOf(zones, zone), offset(t.Name)+t.Pool.Size)
 }
 
-// ZoneShare returns an even split of a pool's availability budget.
-func ZoneShare(t *config.Template, zones []pointport.ZoneID, zone pointport.ZoneID) int {
-	return Split(t.Maintenance.Budget.Down(t.Pool.Size), len(zones), indexOf(zones, zone), offset(t.Name)+t.Pool.Size)
+// ZoneShare returns the part of a pool's availability budget that each zone may
+// always spend: an even split, rounded down.
+func ZoneShare(t *config.Template, zones []pointport.ZoneID) int {
+	return t.Maintenance.Budget.Down(t.Pool.Size) / max(1, len(zones))
+}
+
+// FloatTotal returns the rest of the budget, which zones hold in turn.
+func FloatTotal(t *config.Template, zones []pointport.ZoneID) int {
+	return t.Maintenance.Budget.Down(t.Pool.Size) - ZoneShare(t, zones)*max(1, len(zones))
 }
 
 func indexOf(zones []pointport.ZoneID, zone pointport.ZoneID) int {
@@ -151,12 +157,14 @@
 	p := d.in.State.pools[t.Name]
 	if surplus <= 0 {
 		if !p.SurplusSince.IsZero() {
-			d.pools[t.Name] = Pool{}
+			p.SurplusSince = time.Time{}
+			d.pools[t.Name] = p
 		}
 		return
 	}
 	if p.SurplusSince.IsZero() {
-		d.pools[t.Name] = Pool{SurplusSince: d.in.Now}
+		p.SurplusSince = d.in.Now
+		d.pools[t.Name] = p
 		return
 	}
 	if d.in.Now.Sub(p.SurplusSince) < keepSurplus(t) {
--- a/assign/state.go
+++ b/assign/state.go
@@ -83,6 +83,9 @@
 type Pool struct {
 	// SurplusSince is when the pool came to have more than it needs.
 	SurplusSince time.Time `json:"surplusSince,omitzero"`
+	// Float is how much of the budget the zone holds beyond its even share. The
+	// ledger of all zones holds at least as much for it.
+	Float int `json:"float,omitempty"`
 }
 
 // A Change is a set of steps that are taken together. Its fields are exported
@@ -143,6 +146,9 @@
 	return out
 }
 
+// Pool returns what is kept of a pool besides its members.
+func (s *State) Pool(name string) Pool { return s.pools[name] }
+
 // Wave returns how far a wave has come.
 func (s *State) Wave(name string) (Wave, bool) {
 	w, ok := s.waves[name]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,7 +157,7 @@
 		return
 	}
 	e.election = elect.Start(ctx, e.platform, e.clock, "planner."+e.settings.zone, e.holder, elect.DefaultTTL)
-	planner.Start(ctx, e.clock, zone, e.settings.zoneIDs(), e.platform, e.configs, e.assigns[zone], e.election,
+	planner.Start(ctx, e.clock, zone, e.settings.zoneIDs(), e.platform, e.platform, e.configs, e.assigns[zone], e.election,
 		planner.WithLogger(e.logger), planner.WithPause(e.planPause), planner.WithAuthor("planner/"+e.holder))
 	placer.Start(ctx, e.clock, zone, e.platform,
 		placer.Sources{Config: e.configs.State, Assign: e.assigns[zone].State}, e.jobs[zone], e.election,
--- /dev/null
+++ b/planner/ledger.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/assign"
+	"github.com/pointport/pointport/config"
+)
+
+// This file defines the ledger of the floating budgets. Each zone may always
+// spend an even share of a pool's budget, rounded down; the rest floats, so that
+// a budget smaller than the number of zones lets them take turns.
+//
+// Invariants: what the ledger gives to all zones of a pool is no more than the
+// pool's floating budget, since every change of it is a compare-and-swap; a
+// zone's log never holds more for the zone than the ledger does. Taking raises
+// the ledger first and the log second, giving back lowers the log first. A
+// planner that was paused decides by the log and commits on the version that it
+// read, so it cannot spend what was given back meanwhile.
+
+// ledgerKey is the key of the ledger.
+const ledgerKey = "budget"
+
+// A ledger is the stored form: units by pool and zone.
+type ledger map[string]map[pointport.ZoneID]int
+
+// held returns what all zones hold of a pool's floating budget.
+func (l ledger) held(pool string) int {
+	n := 0
+	for _, units := range l[pool] {
+		n += units
+	}
+	return n
+}
+
+func (p *Planner) readLedger(ctx context.Context) (ledger, pointport.Revision, error) {
+	e, err := p.store.Get(ctx, ledgerKey)
+	if err != nil {
+		return nil, 0, err
+	}
+	l := make(ledger)
+	if e.Exists() {
+		if err := json.Unmarshal(e.Value(), &l); err != nil {
+			return nil, 0, fmt.Errorf("%s: %w", ledgerKey, err)
+		}
+	}
+	return l, e.Revision(), nil
+}
+
+// share returns what the zone may spend of a pool's budget now. What floats
+// counts only while the ledger, as last read, gives out no more than there is:
+// an operator may have lowered the budget.
+func (p *Planner) share(state *assign.State, t *config.Template) int {
+	n := assign.ZoneShare(t, p.zones)
+	if p.ledger.held(t.Name) <= assign.FloatTotal(t, p.zones) {
+		n += min(state.Pool(t.Name).Float, p.ledger[t.Name][p.zone])
+	}
+	return n
+}
+
+// wants returns what the zone should hold of each pool's floating budget.
+func (p *Planner) wants(state *assign.State) map[string]int {
+	in := p.input(p.clock.Now(), state, p.listed)
+	out := make(map[string]int)
+	for _, t := range in.Templates {
+		if assign.FloatTotal(t, p.zones) > 0 || state.Pool(t.Name).Float > 0 {
+			out[t.Name] = assign.WantFloat(in, t, assign.ZoneShare(t, p.zones))
+		}
+	}
+	return out
+}
+
+// settleFloats takes and gives back floating budget, and returns the state
+// afterwards.
+func (p *Planner) settleFloats(ctx context.Context, state *assign.State) (*assign.State, error) {
+	wants := p.wants(state)
+	if !p.floatsDiffer(state, wants) {
+		return state, nil
+	}
+	state, err := p.lowerLog(ctx, state, wants)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.changeLedger(ctx, state, wants); err != nil {
+		return nil, err
+	}
+	return p.raiseLog(ctx, state, wants)
+}
+
+// floatsDiffer reports whether the log or the ledger, as last read, holds
+// anything else than the zone wants.
+func (p *Planner) floatsDiffer(state *assign.State, wants map[string]int) bool {
+	for pool, units := range p.ledger {
+		if units[p.zone] != wants[pool] {
+			return true
+		}
+	}
+	for pool, want := range wants {
+		if state.Pool(pool).Float != want || p.ledger[pool][p.zone] != want {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) lowerLog(ctx context.Context, state *assign.State, wants map[string]int) (*assign.State, error) {
+	return p.writeFloats(ctx, state, wants, func(pool string, have, want int) int { return min(have, want) })
+}
+
+func (p *Planner) raiseLog(ctx context.Context, state *assign.State, wants map[string]int) (*assign.State, error) {
+	return p.writeFloats(ctx, state, wants, func(pool string, have, want int) int {
+		return max(have, min(want, p.ledger[pool][p.zone]))
+	})
+}
+
+// writeFloats writes what the zone holds to its log, where that changes.
+func (p *Planner) writeFloats(ctx context.Context, state *assign.State, wants map[string]int, next func(pool string, have, want int) int) (*assign.State, error) {
+	change := assign.Change{Pools: make(map[string]assign.Pool)}
+	for pool, want := range wants {
+		kept := state.Pool(pool)
+		if n := next(pool, kept.Float, want); n != kept.Float {
+			kept.Float = n
+			change.Pools[pool] = kept
+		}
+	}
+	if change.Empty() {
+		return state, nil
+	}
+	return p.commit(ctx, state, change)
+}
+
+// changeLedger gives back what the log no longer holds and takes what is free
+// of what is wanted. A race or a failure leaves it for the next round.
+func (p *Planner) changeLedger(ctx context.Context, state *assign.State, wants map[string]int) error {
+	l, rev, err := p.readLedger(ctx)
+	if err != nil {
+		return err
+	}
+	p.ledger = l
+	changed := false
+	for _, t := range p.configs.State().Effective(p.clock.Now()) {
+		have := l[t.Name][p.zone]
+		free := assign.FloatTotal(t, p.zones) - l.held(t.Name)
+		next := max(state.Pool(t.Name).Float, min(wants[t.Name], have+max(0, free)))
+		if next == have {
+			continue
+		}
+		if l[t.Name] == nil {
+			l[t.Name] = make(map[pointport.ZoneID]int)
+		}
+		l[t.Name][p.zone] = next
+		if next == 0 {
+			delete(l[t.Name], p.zone)
+		}
+		changed = true
+	}
+	if !changed {
+		return nil
+	}
+	data, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	if _, err = p.store.CompareAndSwap(ctx, ledgerKey, rev, data); err != nil {
+		// Nothing may be counted on that was not seen to be written.
+		p.ledger = nil
+		return err
+	}
+	return nil
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -65,6 +65,8 @@
 	author   string
 	pause    func() time.Duration
 
+	store  pointport.Store
+	ledger ledger // as last read or written
 	seen   tracker
 	listed []pointport.Instance // as last read
 	held   bool
@@ -84,9 +86,10 @@
 func WithAuthor(a string) Option { return func(p *Planner) { p.author = a } }
 
 // New returns a planner of zone, one of zones, that acts only by Round.
-func New(clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
+func New(clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, store pointport.Store, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
 	p := &Planner{
-		zone: zone, zones: zones, clock: clock, fleet: fleet, configs: configs, log: log,
+		store: store,
+		zone:  zone, zones: zones, clock: clock, fleet: fleet, configs: configs, log: log,
 		election: election, logger: slog.New(slog.DiscardHandler), author: "planner", pause: func() time.Duration { return DefaultInterval },
 		seen: newTracker(),
 	}
@@ -97,8 +100,8 @@
 }
 
 // Start returns a planner that works until ctx ends.
-func Start(ctx context.Context, clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
-	p := New(clock, zone, zones, fleet, configs, log, election, options...)
+func Start(ctx context.Context, clock pointport.Clock, zone pointport.ZoneID, zones []pointport.ZoneID, fleet Fleet, store pointport.Store, configs ConfigSource, log *AssignLog, election Election, options ...Option) *Planner {
+	p := New(clock, zone, zones, fleet, store, configs, log, election, options...)
 	go func() {
 		p.run(ctx)
 	}()
@@ -132,7 +135,7 @@
 		p.held = held
 		if held {
 			event.PlannerElected.Log(p.logger, slog.String("zone", string(p.zone)))
-			p.seen, p.listed = newTracker(), nil
+			p.seen, p.listed, p.ledger = newTracker(), nil, nil
 		} else {
 			event.PlannerLost.Log(p.logger, slog.String("zone", string(p.zone)))
 		}
@@ -180,11 +183,15 @@
 	return p.decide(ctx, p.log.State())
 }
 
-// decide decides on state, commits and tells the platform.
+// decide decides on state, commits and tells the platform. What it may spend of
+// the floating budgets is settled first.
 func (p *Planner) decide(ctx context.Context, state *assign.State) error {
+	state, err := p.settleFloats(ctx, state)
+	if err != nil {
+		return err
+	}
 	change := assign.Decide(p.input(p.clock.Now(), state, p.listed))
 	if !change.Empty() {
-		var err error
 		if state, err = p.commit(ctx, state, change); err != nil {
 			return err
 		}
@@ -197,7 +204,7 @@
 	in := assign.Input{
 		Now: now, Zone: p.zone, Zones: p.zones, State: state, Templates: cfg.Effective(now),
 		Listed: listed, Quiet: p.seen.quietFor(), Absent: p.seen.absent,
-		Share: func(t *config.Template) int { return assign.ZoneShare(t, p.zones, p.zone) },
+		Share: func(t *config.Template) int { return p.share(state, t) },
 	}
 	for _, o := range cfg.List(config.KindWave) {
 		_, version, _ := cfg.Get(config.KindWave, o.Name())
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -156,7 +156,7 @@
 // planner returns a new planner of the zone, as after a restart.
 func (s *scene) planner() *planner.Planner {
 	s.names++
-	return planner.New(s.clock, "zone-a", []pointport.ZoneID{"zone-a"}, s.fleet, s.cfg, s.log(), always{}, planner.WithAuthor(fmt.Sprint("planner-", s.names)))
+	return planner.New(s.clock, "zone-a", []pointport.ZoneID{"zone-a"}, s.fleet, s.store, s.cfg, s.log(), always{}, planner.WithAuthor(fmt.Sprint("planner-", s.names)))
 }
 
 // out returns how many instances do not serve, in truth.
--- a/query/query.go
+++ b/query/query.go
@@ -198,7 +198,7 @@
 	}
 	var out []assign.Explanation
 	for _, zone := range s.Zones {
-		out = append(out, assign.ExplainPool(s.Assign[zone].State(), t, s.Zones, zone, assign.ZoneShare(t, s.Zones, zone)))
+		out = append(out, assign.ExplainPool(s.Assign[zone].State(), t, s.Zones, zone, assign.ZoneShare(t, s.Zones)+s.Assign[zone].State().Pool(name).Float))
 	}
 	return out
 }
