--- a/cmd/pointport/main.go
+++ b/cmd/pointport/main.go
@@ -22,6 +22,7 @@
 	}
 	subcommands.Register(cli.Standin(), "trials")
 	subcommands.Register(cli.Load(), "trials")
+	subcommands.Register(cli.Evaluate(), "trials")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
