Never say not run after an attempt that may have run; never answer empty

Cause: two faults that a property and a test of a slow caller brought about. Repeatable work whose first attempt broke on its bytes and whose second was refused by the upstream was refused as not run, although the first may have run. And a caller that sent its body too slowly got status 200 with an empty body: the read deadline cancels the request's context, the gateway took the caller for gone and sent nothing, and net/http then sends an empty answer. Change: the exchange remembers that an attempt may have run, and every refusal minds it; a refusal is always sent; a body that comes too slowly is refused with 408 as not run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -300,10 +300,14 @@
 	return problem
 }
 
+// refuse sends a refusal. An earlier attempt may have run even if the last did
+// not. It is sent also when the caller seems to have gone: a handler that sends
+// nothing would leave an empty answer that looks whole.
 func (g *Gateway) refuse(w http.ResponseWriter, x *exchange, p *Problem) outcome {
-	if !x.gone() {
-		p.write(w)
+	if p.Ran == RanNo && x.ran == RanUnknown {
+		p.Ran = RanUnknown
 	}
+	p.write(w)
 	return p.outcome
 }
 
@@ -389,6 +393,9 @@
 		}
 		x.grant = grant
 		a := g.attempt(ctx, x, grant)
+		if a.end == endUnknown || a.end == endAnswered {
+			x.ran = RanUnknown
+		}
 		if g.mayRetry(ctx, x, a, n) {
 			x.avoid = append(x.avoid, grant.Instance().ID)
 			g.pause(ctx, n)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -37,7 +37,8 @@
 	steps   []string
 	reached int
 	bodies  []string
-	release chan struct{} // closed when hanging upstreams may go on
+	ran     map[string]int // by body, the requests that were not refused
+	release chan struct{}  // closed when hanging upstreams may go on
 }
 
 func (s *script) next(body string) string {
@@ -45,14 +46,34 @@
 	defer s.mu.Unlock()
 	s.reached++
 	s.bodies = append(s.bodies, body)
-	if len(s.steps) == 0 {
-		return "answer"
+	step := "answer"
+	if len(s.steps) > 0 {
+		step = s.steps[0]
+		s.steps = s.steps[1:]
+	}
+	if step != "not-run" {
+		if s.ran == nil {
+			s.ran = make(map[string]int)
+		}
+		s.ran[body]++
 	}
-	step := s.steps[0]
-	s.steps = s.steps[1:]
 	return step
 }
 
+// plan replaces what the upstreams will do.
+func (s *script) plan(steps []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps = steps
+}
+
+// started returns how many requests with a body were not refused.
+func (s *script) started(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[body]
+}
+
 func (s *script) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -49,6 +50,7 @@
 	started  time.Time
 	avoid    []pointport.InstanceID // upstreams that have failed this request
 	grant    *dispatch.Grant        // the last one
+	ran      Ran                    // what is known of the attempts so far
 }
 
 // repeatable reports whether the work may run more than once.
@@ -167,6 +169,9 @@
 	switch {
 	case errors.As(err, &large):
 		return tooLarge(x.match.Route(), RanNo)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return newProblem(http.StatusRequestTimeout, outcomeTimeout, RanNo, "the request's body came too slowly",
+			fmt.Sprintf("%d bytes came within %v", len(head), x.deadline.Sub(x.started)))
 	case err != nil && r.Context().Err() != nil:
 		return x.late(RanNo)
 	case err != nil:
