--- a/cli/config.go
+++ b/cli/config.go
@@ -40,8 +40,9 @@
 		if err != nil {
 			return err
 		}
-		a := &applier{o.client(), o.author, reason, file, id, force}
-		return a.apply(ctx, out, objects)
+		a := &applier{client: o.client(), author: o.author, reason: reason, source: file, id: id, force: force}
+		err = a.apply(ctx, objects)
+		return errors.Join(a.print(&o, out), err)
 	}
 	return c
 }
@@ -75,14 +76,32 @@
 	source string
 	id     string
 	force  bool
+	done   []applied
 }
 
-func (a *applier) apply(ctx context.Context, out io.Writer, objects []config.Object) error {
+// applied is what came of one document. Its fields are exported for the codec.
+type applied struct {
+	Object  string         `json:"object"`
+	Action  string         `json:"action"` // accepted, unchanged or removed
+	Version config.Version `json:"version"`
+	Change  string         `json:"change,omitempty"`
+}
+
+// print shows what was done, also where a later document failed.
+func (a *applier) print(o *operatorFlags, out io.Writer) error {
+	return o.print(out, a.done, func(w io.Writer) {
+		for _, d := range a.done {
+			fmt.Fprintf(w, "%s %s\tversion %d\t%s\n", d.Object, d.Action, d.Version, d.Change)
+		}
+	})
+}
+
+func (a *applier) apply(ctx context.Context, objects []config.Object) error {
 	if a.id == "" {
 		a.id = uuid.NewString()
 	}
 	for n, o := range objects {
-		if err := a.applyOne(ctx, out, n, o); err != nil {
+		if err := a.applyOne(ctx, n, o); err != nil {
 			return err
 		}
 	}
@@ -91,7 +110,7 @@
 
 // applyOne sends a document on the version that the server shows now. An object
 // that stands as it should is left alone.
-func (a *applier) applyOne(ctx context.Context, out io.Writer, n int, o config.Object) error {
+func (a *applier) applyOne(ctx context.Context, n int, o config.Object) error {
 	path := objectPath(o.Kind(), o.Name())
 	id := fmt.Sprintf("%s.%d", a.id, n)
 	q := url.Values{"id": {id}, "author": {a.author}, "reason": {a.reason}, "source": {a.source}}
@@ -100,7 +119,7 @@
 		return err
 	}
 	if have.Version != 0 && sameObject(have.Object, o) {
-		fmt.Fprintf(out, "%s unchanged, version %d\n", o.ID(), have.Version)
+		a.done = append(a.done, applied{o.ID(), "unchanged", have.Version, ""})
 		return nil
 	}
 	if !a.force {
@@ -110,7 +129,7 @@
 	if err := a.client.Call(ctx, http.MethodPut, path, q, o, &change); err != nil {
 		return fmt.Errorf("%s (change %s): %w", o.ID(), id, err)
 	}
-	fmt.Fprintf(out, "%s accepted, version %d, change %s\n", o.ID(), change.Version, change.ID)
+	a.done = append(a.done, applied{o.ID(), "accepted", change.Version, change.ID})
 	return nil
 }
 
@@ -196,8 +215,8 @@
 		if err := o.client().Call(ctx, http.MethodDelete, objectPath(config.Kind(args[0]), args[1]), q, nil, &change); err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%s removed, version %d, change %s\n", change.Removed, change.Version, change.ID)
-		return nil
+		a := &applier{done: []applied{{change.Removed, "removed", change.Version, change.ID}}}
+		return a.print(&o, out)
 	}
 	return c
 }
@@ -216,13 +235,14 @@
 		if err := need(args, 2, "start, pause, resume or cancel, and NAME"); err != nil {
 			return err
 		}
-		a := &applier{o.client(), o.author, reason, "wave", uuid.NewString(), false}
+		a := &applier{client: o.client(), author: o.author, reason: reason, source: "wave", id: uuid.NewString()}
 		w, err := steer(ctx, a, args[0], args[1], template, racks)
 		if err != nil {
 			return err
 		}
 		w.Reason = reason
-		return a.applyOne(ctx, out, 0, config.NewObject(w))
+		err = a.applyOne(ctx, 0, config.NewObject(w))
+		return errors.Join(a.print(&o, out), err)
 	}
 	return c
 }
