--- a/assign/bench_test.go
+++ b/assign/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/assign"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/internal/measure"
 )
 
 // The benchmarks give the slopes of docs/CAPACITY.md that belong to a zone's
@@ -91,12 +92,12 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				before := heap()
+				before := measure.Heap()
 				var back assign.State
 				if err := json.Unmarshal(data, &back); err != nil {
 					b.Fatal(err)
 				}
-				after := heap()
+				after := measure.Heap()
 				b.ReportMetric(float64(len(data)), "stored-B")
 				b.ReportMetric(float64(after-before), "heap-B")
 				runtime.KeepAlive(&back)
@@ -104,11 +105,3 @@
 		})
 	}
 }
-
-func heap() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/changelog/append.go
+++ b/changelog/append.go
@@ -80,6 +80,35 @@
 	}
 }
 
+// A StaleError says that a log has moved on since a decision was made on it.
+// Nothing was done.
+type StaleError struct {
+	Log  string            // the name of the log
+	Read pointport.Version // the version that the decision read
+	Have pointport.Version // the version that the log had
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("log %s: decided on version %d, it has %d", e.Log, e.Read, e.Have)
+}
+
+// Commit makes a change that was decided on the version before its own. It fails
+// with a *StaleError if the log has moved on, and else as Append does.
+func (g *Log[S, C]) Commit(ctx context.Context, c C) error {
+	_, err := g.Append(ctx, c.ChangeID(), func(have S) (C, error) {
+		if read := c.ChangeVersion() - 1; have.Version() != read {
+			var none C
+			return none, &StaleError{g.name, read, have.Version()}
+		}
+		return c, nil
+	})
+	var stale *StaleError
+	if errors.As(err, &stale) {
+		event.StepLost.Log(g.logger, slog.Int64("read", int64(stale.Read)), slog.Int64("have", int64(stale.Have)))
+	}
+	return err
+}
+
 func settle(unsettled bool, id string, err error) error {
 	if unsettled {
 		return &UnsettledError{id, err}
--- a/changelog/bench_test.go
+++ b/changelog/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/pointport/pointport/changelog"
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/internal/measure"
 	"github.com/pointport/pointport/memory"
 )
 
@@ -28,12 +29,12 @@
 	for n := range objects {
 		appendBench(b, author, document(b, n, 0))
 	}
-	before := heap()
+	before := measure.Heap()
 	node := changelog.Start[*config.State, config.Change](ctx, store, clock.System{}, "config", config.NewState())
 	if err := node.Refresh(ctx); err != nil {
 		b.Fatal(err)
 	}
-	held := heap() - before
+	held := measure.Heap() - before
 	const changes = 200
 	for b.Loop() {
 		from := store.Counts()
@@ -80,11 +81,3 @@
 		b.Fatal(err)
 	}
 }
-
-func heap() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointport/pointport/claim"
 	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/internal/measure"
 	"github.com/pointport/pointport/memory"
 )
 
@@ -28,7 +29,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	store := memory.New(clock.System{})
-	before := heap()
+	before := measure.Heap()
 	book := claim.Start(ctx, store, clock.System{}, "a", claim.WithWrites(1e6, time.Millisecond))
 	work := make(chan int)
 	done := make(chan struct{})
@@ -54,16 +55,8 @@
 		<-done
 	}
 	stored := store.Stored()
-	b.ReportMetric(float64(heap()-before-stored)/float64(n), "heap-B/claim")
+	b.ReportMetric(float64(measure.Heap()-before-stored)/float64(n), "heap-B/claim")
 	b.ReportMetric(float64(stored)/float64(n), "stored-B/claim")
 	b.ReportMetric(float64(store.Counts().Writes)/float64(n), "writes/claim")
 	runtime.KeepAlive(book)
 }
-
-func heap() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/config/template.go
+++ b/config/template.go
@@ -20,6 +20,20 @@
 	Bulk   Priority = "bulk"
 )
 
+// Rank returns the priority's place, from 0 for the first to be served.
+func (p Priority) Rank() int {
+	switch p {
+	case Urgent:
+		return 0
+	case Bulk:
+		return 2
+	}
+	return 1
+}
+
+// Ranks is how many ranks there are.
+const Ranks = 3
+
 // A Domain is a kind of failure domain.
 type Domain string
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/config"
 	"github.com/pointport/pointport/dispatch"
+	"github.com/pointport/pointport/internal/measure"
 )
 
 // BenchmarkAcquire measures a grant and its end, by the number of upstreams,
@@ -21,10 +22,10 @@
 	}
 	tpl := objects[0].Template()
 	for _, n := range []int{10, 50, 500, 2000} {
-		before := heap()
+		before := measure.Heap()
 		s := dispatch.New("tips", clock.System{}, tpl, dispatch.WithZone("zone-a"))
 		s.Update(tpl, targets(n))
-		held := heap() - before
+		held := measure.Heap() - before
 		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
 			b.ReportAllocs()
 			r := dispatch.Request{Priority: config.Normal, Deadline: time.Now().Add(time.Hour)}
@@ -40,11 +41,3 @@
 		runtime.KeepAlive(s)
 	}
 }
-
-func heap() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/job/decide.go
+++ b/job/decide.go
@@ -8,7 +8,6 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/assign"
-	"github.com/pointport/pointport/config"
 )
 
 // This file defines the decision about jobs.
@@ -183,22 +182,12 @@
 			waiting = append(waiting, j)
 		}
 	}
-	sort.SliceStable(waiting, func(a, b int) bool { return rank(waiting[a].Priority) < rank(waiting[b].Priority) })
+	sort.SliceStable(waiting, func(a, b int) bool { return waiting[a].Priority.Rank() < waiting[b].Priority.Rank() })
 	for _, j := range waiting {
 		d.placeOne(j)
 	}
 }
 
-func rank(p config.Priority) int {
-	switch p {
-	case config.Urgent:
-		return 0
-	case config.Bulk:
-		return 2
-	}
-	return 1
-}
-
 func (d *decision) placeOne(j Job) {
 	if q := d.in.Quotas[j.Customer]; q > 0 && d.used[j.Customer]+j.Need.CPUMilli > q {
 		d.wait(j, fmt.Sprintf("customer %s uses %d of its quota of %d thousandths of a processor", j.Customer, d.used[j.Customer], q))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -145,30 +144,15 @@
 	return in
 }
 
-// A LostError says that another writer came first. Nothing was done.
-type LostError struct {
-	Read pointport.Version // the version that the decision read
-	Have pointport.Version // the version that the log had
-}
-
-func (e *LostError) Error() string {
-	return fmt.Sprintf("jobs: decided on version %d, the log has %d", e.Read, e.Have)
-}
-
 func (p *Placer) commit(ctx context.Context, state *job.State, steps []job.Step) (*job.State, error) {
 	change := job.Change{
 		ID: uuid.NewString(), Version: state.Version() + 1, Author: p.author,
 		At: p.clock.Now().UTC(), Steps: steps,
 	}
-	_, err := p.log.Append(ctx, change.ID, func(have *job.State) (job.Change, error) {
-		if have.Version() != state.Version() {
-			return job.Change{}, &LostError{state.Version(), have.Version()}
-		}
-		return change, nil
-	})
-	var lost *LostError
-	if errors.As(err, &lost) {
-		event.StepLost.Log(p.logger, slog.Int64("read", int64(lost.Read)), slog.Int64("have", int64(lost.Have)))
+	err := p.log.Commit(ctx, change)
+	var stale *changelog.StaleError
+	if errors.As(err, &stale) {
+		// What was committed before still holds and may be told again.
 		return state, nil
 	}
 	if err != nil {
--- a/planner/ledger.go
+++ b/planner/ledger.go
@@ -107,7 +107,7 @@
 }
 
 func (p *Planner) lowerLog(ctx context.Context, state *assign.State, wants map[string]int) (*assign.State, error) {
-	return p.writeFloats(ctx, state, wants, func(pool string, have, want int) int { return min(have, want) })
+	return p.writeFloats(ctx, state, wants, func(_ string, have, want int) int { return min(have, want) })
 }
 
 func (p *Planner) raiseLog(ctx context.Context, state *assign.State, wants map[string]int) (*assign.State, error) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -150,17 +149,6 @@
 	p.cut = err != nil
 }
 
-// A LostError says that another planner wrote first. Nothing was done.
-type LostError struct {
-	Zone pointport.ZoneID
-	Read pointport.Version // the version that the decision read
-	Have pointport.Version // the version that the log had
-}
-
-func (e *LostError) Error() string {
-	return fmt.Sprintf("zone %s: decided on version %d, the log has %d", e.Zone, e.Read, e.Have)
-}
-
 // Round reads, decides, commits and tells the platform, once.
 func (p *Planner) Round(ctx context.Context) error {
 	if err := p.log.Refresh(ctx); err != nil {
@@ -219,18 +207,7 @@
 	change.Version = state.Version() + 1
 	change.Author = p.author
 	change.At = p.clock.Now().UTC()
-	_, err := p.log.Append(ctx, change.ID, func(have *assign.State) (assign.Change, error) {
-		if have.Version() != state.Version() {
-			return assign.Change{}, &LostError{p.zone, state.Version(), have.Version()}
-		}
-		return change, nil
-	})
-	var lost *LostError
-	if errors.As(err, &lost) {
-		event.StepLost.Log(p.logger, slog.Int64("read", int64(lost.Read)), slog.Int64("have", int64(lost.Have)))
-		return nil, err
-	}
-	if err != nil {
+	if err := p.log.Commit(ctx, change); err != nil {
 		return nil, err
 	}
 	p.report(change)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -286,9 +286,9 @@
 		return memory.FaultNone
 	})
 	err := s.planner().Round(t.Context())
-	var lost *planner.LostError
+	var lost *changelog.StaleError
 	if !errors.As(err, &lost) {
-		t.Errorf("the paused planner: got %v, want a LostError", err)
+		t.Errorf("the paused planner: got %v, want a StaleError", err)
 	}
 	if n := s.out(); n != budget {
 		t.Errorf("%d instances are out, want the %d that the other planner took", n, budget)
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -18,23 +18,12 @@
 
 // This file defines the fair queue.
 
-// classes is how many classes there are.
-const classes = 3
+// classes is how many classes there are, one for each rank of priority.
+const classes = config.Ranks
 
 // starveBound is how many turns in a row a class may be passed over.
 var starveBound = [classes]int{0, 4, 16}
 
-// class returns the index of a priority.
-func class(p config.Priority) int {
-	switch p {
-	case config.Urgent:
-		return 0
-	case config.Bulk:
-		return 2
-	}
-	return 1
-}
-
 // An Item is something that waits in a Fair queue.
 type Item[T any] struct {
 	value  T
@@ -72,7 +61,7 @@
 // Ahead returns how many items wait that would be served before a new item of
 // priority p for a customer, turns of lower classes aside.
 func (f *Fair[T]) Ahead(p config.Priority, customer string) int {
-	c := class(p)
+	c := p.Rank()
 	n := 0
 	for higher := range c {
 		n += len(f.lines[higher].items)
@@ -106,7 +95,7 @@
 // Before reports whether a new item of priority p for a customer would be
 // served before it.
 func (f *Fair[T]) Before(p config.Priority, customer string, it *Item[T]) bool {
-	c := class(p)
+	c := p.Rank()
 	if c != it.class {
 		return c < it.class
 	}
@@ -117,7 +106,7 @@
 // Push adds value for a customer. The customer's weight and the item's cost
 // decide how soon its next item's turn comes.
 func (f *Fair[T]) Push(value T, p config.Priority, customer string, weight, cost float64) *Item[T] {
-	c := class(p)
+	c := p.Rank()
 	l := &f.lines[c]
 	if l.finish == nil {
 		l.finish = make(map[string]float64)
