--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,8 +29,24 @@
 	help  string
 	text  string
 	parse func(text string) error
+	// alone says that the flag may stand without a value, for true.
+	alone bool
 }
 
+var _ flag.Value = (*setting)(nil)
+
+// String returns the value as text.
+func (e *setting) String() string { return e.text }
+
+// Set takes a value as text. It is checked with all others, by Load.
+func (e *setting) Set(text string) error {
+	e.text = text
+	return nil
+}
+
+// IsBoolFlag reports whether the flag may stand without a value.
+func (e *setting) IsBoolFlag() bool { return e.alone }
+
 // A Set is the settings of one subcommand.
 type Set struct {
 	byName map[string]*setting
@@ -61,7 +77,7 @@
 	if s.byName[name] != nil {
 		panic("settings: " + name + " is defined twice")
 	}
-	s.byName[name] = &setting{name, help, value, parse}
+	s.byName[name] = &setting{name: name, help: help, text: value, parse: parse}
 }
 
 // String defines a setting that may be any text.
@@ -209,6 +225,7 @@
 		*target = b
 		return nil
 	})
+	s.byName[name].alone = true
 }
 
 // OneOf defines a setting that is one of a few words.
@@ -227,7 +244,7 @@
 // Register adds the settings to a subcommand's flags.
 func (s *Set) Register(f *flag.FlagSet) {
 	for _, e := range s.sorted() {
-		f.StringVar(&e.text, e.name, e.text, e.help+" ["+Env(e.name)+"]")
+		f.Var(e, e.name, e.help+" ["+Env(e.name)+"]")
 	}
 }
 
