Relay a zone's waiting watches through the planner's process

Cause: each entry instance waits at the store for the configuration and every zone's assignment; at the size to design for that is hundreds of waiting calls. Change: package relay. The holder of the planner's lease, whose URL the lease names, keeps one watch for each key; the others wait through it, and go to the store themselves when it is gone, behind, or has not heard from the store for two seconds.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	"github.com/pointport/pointport/placer"
 	"github.com/pointport/pointport/planner"
 	"github.com/pointport/pointport/query"
+	"github.com/pointport/pointport/relay"
 	"github.com/pointport/pointport/remote"
 )
 
@@ -72,6 +74,7 @@
 	election *elect.Candidate
 
 	addresses map[string]string // URL by role, such as "callers"
+	listeners map[string]net.Listener
 	servers   []*http.Server
 	callers   *http.Server
 	stopping  atomic.Bool
@@ -81,7 +84,7 @@
 
 // Start starts an entry instance whose background work ends with ctx.
 func Start(ctx context.Context, s *Settings, logger *slog.Logger) (*Entry, error) {
-	e := &Entry{settings: s, logger: logger.With(slog.String("node", s.name)), clock: clock.System{}, addresses: make(map[string]string)}
+	e := &Entry{settings: s, logger: logger.With(slog.String("node", s.name)), clock: clock.System{}, addresses: make(map[string]string), listeners: make(map[string]net.Listener)}
 	// The holder names this process and no other.
 	e.holder = fmt.Sprintf("%s.%s", s.name, uuid.NewString()[:8])
 	base := s.platform
@@ -94,6 +97,10 @@
 	e.platform = remote.New(base)
 	e.registry = prometheus.NewRegistry()
 	e.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := e.open(); err != nil {
+		return nil, err
+	}
+	e.startElection(ctx)
 	e.startState(ctx)
 	if s.platform == Embedded {
 		if err := e.seed(ctx); err != nil {
@@ -103,26 +110,59 @@
 	e.startRequests(ctx)
 	e.startControl(ctx)
 	e.registerMetrics()
-	if err := e.listen(); err != nil {
+	if err := e.serveAll(ctx); err != nil {
 		return nil, err
 	}
 	return e, nil
 }
 
+// startElection takes part in the election of the zone's planner, which also
+// relays the zone's waiting watches.
+func (e *Entry) startElection(ctx context.Context) {
+	if !e.settings.control {
+		e.election = &elect.Candidate{}
+		return
+	}
+	holder := e.holder + holderMark + e.addresses[roleOperators]
+	e.election = elect.Start(ctx, e.platform, e.clock, "planner."+e.settings.zone, holder, elect.DefaultTTL)
+}
+
+// holderMark stands between the name of a lease's holder and its URL.
+const holderMark = "@"
+
+// relayURL returns the URL of the zone's relay, or nothing if this process is
+// it or knows none.
+func (e *Entry) relayURL() string {
+	_, base, _ := strings.Cut(e.election.Other(), holderMark)
+	return base
+}
+
+// A relayedStore is the platform's store, whose watches wait through the relay.
+type relayedStore struct {
+	*remote.Client
+	watcher pointport.Watcher
+}
+
+// Watch waits through the zone's relay.
+func (s *relayedStore) Watch(ctx context.Context, key string, after pointport.Revision) (pointport.Entry, error) {
+	return s.watcher.Watch(ctx, key, after)
+}
+
 // startState follows the logs.
 func (e *Entry) startState(ctx context.Context) {
 	logged := changelog.WithLogger(e.logger)
-	e.configs = changelog.Start[*config.State, config.Change](ctx, e.platform, e.clock, configName, config.NewState(), logged)
+	store := &relayedStore{e.platform, relay.NewClient(e.platform, e.clock, e.relayURL)}
+	e.configs = changelog.Start[*config.State, config.Change](ctx, store, e.clock, configName, config.NewState(), logged)
 	e.assigns = make(map[pointport.ZoneID]*planner.AssignLog)
 	e.jobs = make(map[pointport.ZoneID]*placer.JobLog)
 	for _, zone := range e.settings.zoneIDs() {
-		e.assigns[zone] = changelog.Start[*assign.State, assign.Change](ctx, e.platform, e.clock, planner.LogName(zone), assign.NewState(), logged)
+		e.assigns[zone] = changelog.Start[*assign.State, assign.Change](ctx, store, e.clock, planner.LogName(zone), assign.NewState(), logged)
 		if zone == pointport.ZoneID(e.settings.zone) {
-			e.jobs[zone] = changelog.Start[*job.State, job.Change](ctx, e.platform, e.clock, placer.LogName(zone), job.NewState(), logged)
+			e.jobs[zone] = changelog.Start[*job.State, job.Change](ctx, store, e.clock, placer.LogName(zone), job.NewState(), logged)
 			continue
 		}
 		// Other zones' jobs are read when someone asks for them.
-		e.jobs[zone] = changelog.New[*job.State, job.Change](e.platform, e.clock, placer.LogName(zone), job.NewState(), logged)
+		e.jobs[zone] = changelog.New[*job.State, job.Change](store, e.clock, placer.LogName(zone), job.NewState(), logged)
 	}
 }
 
@@ -153,10 +193,8 @@
 func (e *Entry) startControl(ctx context.Context) {
 	zone := pointport.ZoneID(e.settings.zone)
 	if !e.settings.control {
-		e.election = &elect.Candidate{}
 		return
 	}
-	e.election = elect.Start(ctx, e.platform, e.clock, "planner."+e.settings.zone, e.holder, elect.DefaultTTL)
 	planner.Start(ctx, e.clock, zone, e.settings.zoneIDs(), e.platform, e.platform, e.configs, e.assigns[zone], e.election,
 		planner.WithLogger(e.logger), planner.WithPause(e.planPause), planner.WithAuthor("planner/"+e.holder))
 	placer.Start(ctx, e.clock, zone, e.platform,
@@ -164,8 +202,35 @@
 		placer.WithLogger(e.logger), placer.WithAuthor("placer/"+e.holder))
 }
 
-// listen opens every listener and then serves.
-func (e *Entry) listen() error {
+// The roles of the listeners.
+const (
+	roleCallers   = "callers"
+	roleOperators = "operators"
+	roleMetrics   = "metrics"
+)
+
+// open opens every listener, so that a wrong address ends the start before
+// anything else has begun.
+func (e *Entry) open() error {
+	s := e.settings
+	for _, p := range []struct{ role, address string }{
+		{roleCallers, s.callers}, {roleOperators, s.operators}, {roleMetrics, s.metrics},
+	} {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			for _, opened := range e.listeners {
+				_ = opened.Close()
+			}
+			return merry.Prepend(err, "-"+p.role)
+		}
+		e.listeners[p.role] = l
+		e.addresses[p.role] = "http://" + l.Addr().String()
+	}
+	return nil
+}
+
+// serveAll serves every listener.
+func (e *Entry) serveAll(ctx context.Context) error {
 	s := e.settings
 	api, err := operator.New(e.clock, &query.Source{
 		Node: s.name, Zone: pointport.ZoneID(s.zone), Zones: s.zoneIDs(), Clock: e.clock,
@@ -174,38 +239,26 @@
 	if err != nil {
 		return err
 	}
+	relayed := remote.New(e.platform.Base(), remote.WithWatch(relay.StoreWait))
+	operators := http.NewServeMux()
+	operators.Handle(relay.Path, relay.NewServer(ctx, relayed, e.clock))
+	operators.Handle("/", api)
 	e.callers = &http.Server{
 		Handler: e.countCallers(e.gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: s.maxHeader, ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
 	}
-	type part struct {
-		role, address string
-		server        *http.Server
-	}
-	parts := []part{
-		{"callers", s.callers, e.callers},
-		{"operators", s.operators, &http.Server{Handler: api, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
-		{"metrics", s.metrics, &http.Server{Handler: e.health(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
-	}
-	var attrs []slog.Attr
-	var listeners []net.Listener
-	for _, p := range parts {
-		l, err := net.Listen("tcp", p.address)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return merry.Prepend(err, "-"+p.role)
-		}
-		listeners = append(listeners, l)
-		e.addresses[p.role] = "http://" + l.Addr().String()
-		attrs = append(attrs, slog.String(p.role, e.addresses[p.role]))
+	servers := map[string]*http.Server{
+		roleCallers:   e.callers,
+		roleOperators: {Handler: operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		roleMetrics:   {Handler: e.health(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
-	for n, p := range parts {
-		e.servers = append(e.servers, p.server)
-		go e.serve(p.role, p.server, listeners[n])
+	attrs := []slog.Attr{slog.String("zone", s.zone), slog.Int("pid", os.Getpid())}
+	for _, role := range []string{roleCallers, roleOperators, roleMetrics} {
+		e.servers = append(e.servers, servers[role])
+		attrs = append(attrs, slog.String(role, e.addresses[role]))
+		go e.serve(role, servers[role], e.listeners[role])
 	}
-	event.Started.Log(e.logger, append(attrs, slog.String("zone", s.zone), slog.Int("pid", os.Getpid()))...)
+	event.Started.Log(e.logger, attrs...)
 	return nil
 }
 
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 
 	mu    sync.Mutex
 	until time.Time
+	other string // who else had the lease when it was last asked for
 }
 
 // Start returns a candidate for the lease called name, which asks for it until
@@ -64,11 +66,22 @@
 	err := c.leaser.Lease(ctx, c.name, c.holder, c.ttl)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil {
-		c.until = from.Add(c.ttl)
+	var held *pointport.HeldError
+	switch {
+	case err == nil:
+		c.until, c.other = from.Add(c.ttl), ""
+	case errors.As(err, &held):
+		c.other = held.Holder
 	}
 }
 
+// Other returns who else had the lease when it was last asked for, or nothing.
+func (c *Candidate) Other() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.other
+}
+
 // giveBack ends the lease so that the next holder need not wait.
 func (c *Candidate) giveBack() {
 	held := c.Held()
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the side of those who wait.
+
+const (
+	// clientWait is how long a relayed watch is asked to wait.
+	clientWait = 20 * time.Second
+	// answerBound is how long beyond that an answer may take.
+	answerBound = 2 * time.Second
+	// distrust is how long a relay that gave no answer is left alone.
+	distrust = 30 * time.Second
+)
+
+// A Client is a pointport.Watcher that waits through the zone's relay, and at
+// the store where there is none. It is safe for concurrent use.
+type Client struct {
+	store pointport.Watcher
+	clock pointport.Clock
+	relay func() string
+	http  *http.Client
+
+	mu    sync.Mutex
+	avoid time.Time // until when the store is watched directly
+}
+
+var _ pointport.Watcher = (*Client)(nil)
+
+// NewClient returns a watcher. The function relay returns the URL of the zone's
+// relay, or nothing if there is none or this process is it.
+func NewClient(store pointport.Watcher, clock pointport.Clock, relay func() string) *Client {
+	return &Client{
+		store: store, clock: clock, relay: relay,
+		http: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: clientWait + answerBound}},
+	}
+}
+
+// Watch waits until key has a revision greater than after, or the wait ends.
+func (c *Client) Watch(ctx context.Context, key string, after pointport.Revision) (pointport.Entry, error) {
+	base := c.relay()
+	if base == "" || c.avoided() {
+		return c.store.Watch(ctx, key, after)
+	}
+	e, err := c.ask(ctx, base, key, after)
+	if err == nil {
+		return e, nil
+	}
+	c.leaveAlone()
+	return c.store.Watch(ctx, key, after)
+}
+
+func (c *Client) avoided() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Before(c.avoid)
+}
+
+func (c *Client) leaveAlone() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoid = c.clock.Now().Add(distrust)
+}
+
+func (c *Client) ask(ctx context.Context, base, key string, after pointport.Revision) (pointport.Entry, error) {
+	q := url.Values{"key": {key}, "after": {strconv.FormatInt(int64(after), 10)}, "wait": {clientWait.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+Path+"?"+q.Encode(), nil)
+	if err != nil {
+		return pointport.Entry{}, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return pointport.Entry{}, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return pointport.Entry{}, fmt.Errorf("relay %s: status %d", base, res.StatusCode)
+	}
+	var r reply
+	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+		return pointport.Entry{}, err
+	}
+	if r.Revision < after {
+		return pointport.Entry{}, fmt.Errorf("relay %s: revision %d of %q is below %d", base, r.Revision, key, after)
+	}
+	return pointport.NewEntry(key, r.Value, r.Revision), nil
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,186 @@
+// Package relay lets the entry instances of an availability zone wait for
+// changes through one of them, so that the store does not carry a waiting watch
+// for each.
+//
+// The model: the holder of the zone's planner lease relays. It keeps one watch
+// on each key that anyone waits for, and answers the others. They know its
+// address from the lease. Whoever gets no fresh answer from the relay watches
+// the store itself for a while.
+//
+// Invariants: a relay answers only while it has itself heard from the store a
+// moment ago, so a relay that is cut off from the store holds nobody back; it
+// answers with what the store said, and never with a revision below the one that
+// was asked about.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the relay's side.
+
+const (
+	// Path starts the path of a relayed watch.
+	Path = "/v1/relay/"
+	// StoreWait is how long the relay's own watches should be held by the store.
+	// It bounds how late the relay notices that it is cut off.
+	StoreWait = time.Second
+	// fresh is how long ago the relay may have heard from the store.
+	fresh = 2 * StoreWait
+	// maxWait bounds how long a relayed watch waits.
+	maxWait = 30 * time.Second
+	// keep is how long a key is watched after the last one waited for it.
+	keep = time.Minute
+	// pause is how long the relay waits after a failed watch.
+	pause = 250 * time.Millisecond
+)
+
+// A Server answers relayed watches.
+type Server struct {
+	ctx   context.Context
+	store pointport.Watcher
+	clock pointport.Clock
+
+	mu   sync.Mutex
+	hubs map[string]*hub
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// NewServer returns a relay over store, whose watches should be held for
+// StoreWait. It works until ctx ends.
+func NewServer(ctx context.Context, store pointport.Watcher, clock pointport.Clock) *Server {
+	return &Server{ctx: ctx, store: store, clock: clock, hubs: make(map[string]*hub)}
+}
+
+// A hub watches one key for all who wait for it.
+type hub struct {
+	mu      sync.Mutex
+	entry   pointport.Entry
+	heard   time.Time
+	asked   time.Time
+	changed chan struct{} // closed and replaced at every answer of the store
+}
+
+// reply is the stored form of an answer.
+type reply struct {
+	Revision pointport.Revision `json:"revision"`
+	Value    []byte             `json:"value,omitempty"`
+}
+
+// ServeHTTP answers one relayed watch.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: must be a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || wait < 0 {
+		http.Error(w, "wait: must be a duration", http.StatusBadRequest)
+		return
+	}
+	e, ok := s.await(r.Context(), r.URL.Query().Get("key"), pointport.Revision(after), min(wait, maxWait))
+	if !ok {
+		http.Error(w, "not heard from the store", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply{e.Revision(), e.Value()})
+}
+
+// await waits for a revision above after. It reports false as soon as the relay
+// is not fresh.
+func (s *Server) await(ctx context.Context, key string, after pointport.Revision, wait time.Duration) (pointport.Entry, bool) {
+	h := s.hub(key)
+	start := s.clock.Now()
+	end := s.clock.After(wait)
+	for {
+		now := s.clock.Now()
+		e, heard, changed := h.look(now)
+		isFresh := !heard.IsZero() && now.Sub(heard) <= fresh
+		if isFresh && e.Revision() > after {
+			return e, true
+		}
+		// By now the relay should have heard, and what the other has seen.
+		if now.Sub(start) > fresh && (!isFresh || e.Revision() < after) {
+			return e, false
+		}
+		select {
+		case <-changed:
+		case <-s.clock.After(fresh):
+		case <-end:
+			return e, isFresh && e.Revision() >= after
+		case <-ctx.Done():
+			return e, false
+		}
+	}
+}
+
+func (h *hub) look(now time.Time) (pointport.Entry, time.Time, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asked = now
+	return h.entry, h.heard, h.changed
+}
+
+func (s *Server) hub(key string) *hub {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.hubs[key]
+	if h == nil {
+		h = &hub{changed: make(chan struct{}), asked: s.clock.Now()}
+		s.hubs[key] = h
+		go func() { s.watch(key, h) }()
+	}
+	return h
+}
+
+// watch follows a key while anyone waits for it.
+func (s *Server) watch(key string, h *hub) {
+	for s.ctx.Err() == nil && s.wanted(key, h) {
+		e, err := s.store.Watch(s.ctx, key, h.revision())
+		if err != nil {
+			select {
+			case <-s.clock.After(pause):
+			case <-s.ctx.Done():
+			}
+			continue
+		}
+		h.take(e, s.clock.Now())
+	}
+}
+
+// wanted reports whether a key is still waited for, and forgets it if not.
+func (s *Server) wanted(key string, h *hub) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.clock.Now().Sub(h.asked) < keep {
+		return true
+	}
+	delete(s.hubs, key)
+	return false
+}
+
+func (h *hub) revision() pointport.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entry.Revision()
+}
+
+func (h *hub) take(e pointport.Entry, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entry, h.heard = e, now
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- a/remote/client.go
+++ b/remote/client.go
@@ -84,6 +84,9 @@
 	return c
 }
 
+// Base returns the platform's URL.
+func (c *Client) Base() string { return c.base }
+
 // A call is one request to the platform.
 type call struct {
 	op, key string // as named in errors
