Read only what has changed of a log

Change: the planner follows its log and does not read it each round (a commit on an old version fails, and brings the newer state along); an unchanged watch answers with the revision alone; a segment of 8 KB is sealed however few changes it holds.

--- a/changelog/append.go
+++ b/changelog/append.go
@@ -46,7 +46,6 @@
 			if unsettled {
 				event.ChangeSettled.Log(g.logger, slog.String("change", id), slog.Int64("version", int64((*done).ChangeVersion())))
 			}
-			g.apply(t.state)
 			return *done, nil
 		}
 		c, err := prepare(t.state)
@@ -57,12 +56,12 @@
 		if err != nil {
 			return none, err
 		}
-		err = g.write(ctx, t, c)
+		bytes, err := g.write(ctx, t, c)
 		var conflict *pointport.ConflictError
 		switch {
 		case err == nil:
 			g.apply(next)
-			g.maybeCompact(ctx, t, next)
+			g.maybeCompact(ctx, t, next, bytes)
 			return c, nil
 		case errors.As(err, &conflict):
 			// Another author was first, or an earlier write of this very
@@ -158,21 +157,21 @@
 	return nil
 }
 
-func (g *Log[S, C]) write(ctx context.Context, t *tail[S, C], c C) error {
+// write appends c to the tail and returns the size of the segment then.
+func (g *Log[S, C]) write(ctx context.Context, t *tail[S, C], c C) (int, error) {
 	changes := append(append([]C(nil), t.changes...), c)
 	data, err := json.Marshal(segment[C]{changes})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_, err = g.store.CompareAndSwap(ctx, g.segmentKey(t.number), t.revision, data)
-	return err
+	return len(data), err
 }
 
 // maybeCompact writes a snapshot when enough segments have been sealed since
 // the last. It may fail or race: the next author tries again.
-func (g *Log[S, C]) maybeCompact(ctx context.Context, t *tail[S, C], state S) {
-	sealed := len(t.changes)+1 >= g.segmentSize
-	if !sealed || t.number%g.snapshotEvery != 0 {
+func (g *Log[S, C]) maybeCompact(ctx context.Context, t *tail[S, C], state S, bytes int) {
+	if !g.sealed(len(t.changes)+1, bytes) || t.number%g.snapshotEvery != 0 {
 		return
 	}
 	if err := g.compact(ctx, t.number+1, state); err != nil {
--- a/changelog/log.go
+++ b/changelog/log.go
@@ -34,6 +34,8 @@
 	// DefaultSegment is how many changes a segment holds. A waiting node reads
 	// the tail again at every change, so a small segment saves bytes.
 	DefaultSegment = 8
+	// sealBytes is the size from which a segment takes no more changes, in bytes.
+	sealBytes = 8 << 10
 	// DefaultSnapshotEvery is how many segments pass between snapshots.
 	DefaultSnapshotEvery = 64
 	// DefaultRetention is how many segments are kept for the audit trail.
@@ -235,9 +237,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if !e.Exists() {
+	switch {
+	case !e.Exists():
 		// Nothing came, or the segment was removed while this node slept.
 		return g.load(ctx)
+	case e.Revision() == t.revision:
+		// The wait ended. The answer need not hold the value again.
+		return t, nil
 	}
 	return g.advance(t, e)
 }
@@ -245,12 +251,8 @@
 // Refresh reads the log up to its end and puts it in force. It serves queries
 // that must see what was accepted before they came.
 func (g *Log[S, C]) Refresh(ctx context.Context) error {
-	t, err := g.load(ctx)
-	if err != nil {
-		return err
-	}
-	g.apply(t.state)
-	return nil
+	_, err := g.load(ctx)
+	return err
 }
 
 // load reads what came after the furthest that was read before, or the
@@ -275,10 +277,11 @@
 		return nil, err
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.last == nil || g.last.state.Version() <= t.state.Version() {
 		g.last = t
 	}
+	g.mu.Unlock()
+	g.apply(t.state)
 	return t, nil
 }
 
@@ -345,12 +348,18 @@
 			return nil, fmt.Errorf("%s: %w", e.Key(), err)
 		}
 	}
-	if len(changes) >= g.segmentSize {
+	if g.sealed(len(changes), len(e.Value())) {
 		return &tail[S, C]{state: next.state, number: t.number + 1}, nil
 	}
 	return next, nil
 }
 
+// sealed reports whether a segment takes no more changes. All nodes must agree
+// on it, so it follows from the stored value alone.
+func (g *Log[S, C]) sealed(changes, bytes int) bool {
+	return changes >= g.segmentSize || bytes >= sealBytes
+}
+
 func decodeSegment[C any](e pointport.Entry) ([]C, error) {
 	var s segment[C]
 	if err := json.Unmarshal(e.Value(), &s); err != nil {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -149,10 +149,13 @@
 	p.cut = err != nil
 }
 
-// Round reads, decides, commits and tells the platform, once.
+// Round reads, decides, commits and tells the platform, once. The log is not
+// read again each time: it is followed, and a commit on an old version fails.
 func (p *Planner) Round(ctx context.Context) error {
-	if err := p.log.Refresh(ctx); err != nil {
-		return err
+	if p.log.Heard().IsZero() {
+		if err := p.log.Refresh(ctx); err != nil {
+			return err
+		}
 	}
 	listed, err := p.fleet.Instances(ctx, p.zone)
 	if err != nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -93,7 +93,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply{e.Revision(), e.Value()})
+	a := reply{e.Revision(), e.Value()}
+	if int64(a.Revision) == after {
+		a.Value = nil // the caller has it
+	}
+	_ = json.NewEncoder(w).Encode(a)
 }
 
 // await waits for a revision above after. It reports false as soon as the relay
@@ -180,7 +184,10 @@
 func (h *hub) take(e pointport.Entry, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entry, h.heard = e, now
+	if e.Revision() != h.entry.Revision() {
+		h.entry = e // an unchanged answer need not hold the value
+	}
+	h.heard = now
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -130,7 +130,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
 	e, err := p.store.Watch(ctx, key, pointport.Revision(after))
-	reply(w, valueAnswer{e.Revision(), e.Value()}, err)
+	a := valueAnswer{e.Revision(), e.Value()}
+	if int64(a.Revision) == after {
+		a.Value = nil // the caller has it
+	}
+	reply(w, a, err)
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
