Ask for a held lease once in its time

Cause: at 72 entry instances the candidates for planner leases cost 21.6 calls a second, a fifth of the store's writes. Change: while another holds the lease, ask once in its time instead of thrice. Seen: TestCallsOfTheOthers: nine candidates cost 110 calls in ten times the lease, 270 by the old pause. A takeover takes at most twice the lease.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -45,7 +45,7 @@
 		for ctx.Err() == nil {
 			c.ask(ctx)
 			select {
-			case <-clock.After(ttl / renewals):
+			case <-clock.After(c.pause()):
 			case <-ctx.Done():
 			}
 		}
@@ -75,6 +75,15 @@
 	}
 }
 
+// pause is how long to wait before the lease is asked for again. While another
+// has it, asking more often than once in its time would only cost calls.
+func (c *Candidate) pause() time.Duration {
+	if c.Other() != "" {
+		return c.ttl
+	}
+	return c.ttl / renewals
+}
+
 // Other returns who else had the lease when it was last asked for, or nothing.
 func (c *Candidate) Other() string {
 	c.mu.Lock()
