--- a/assign/decide.go
+++ b/assign/decide.go
@@ -20,6 +20,9 @@
 	absentBound = 30 * time.Second
 	// forgetBound is how long a failed instance that is missing is remembered.
 	forgetBound = 10 * time.Minute
+	// maxSteps bounds the steps of one change, so that its stored value stays far
+	// below what the store takes, also when a whole zone fails at once.
+	maxSteps = 500
 	// reportBound is how old an instance's report may be before its state
 	// counts as unknown.
 	reportBound = time.Minute
@@ -166,9 +169,17 @@
 	return string(m.Phase) + " in " + m.Pool
 }
 
-// each calls do for every member, in the order of their names.
+// full reports whether the decision has as many steps as one change may hold.
+// What is left is decided next time.
+func (d *decision) full() bool { return len(d.steps) >= maxSteps }
+
+// each calls do for every member, in the order of their names, until the
+// decision is full.
 func (d *decision) each(do func(Member)) {
 	for _, id := range d.order {
+		if d.full() {
+			return
+		}
 		if m, ok := d.member[id]; ok {
 			do(m)
 		}
--- /dev/null
+++ b/assign/decide_test.go
@@ -0,0 +1,73 @@
+package assign_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/assign"
+)
+
+// TestZoneLostFitsTheStore loses a zone of 2000 instances at once. No change may
+// come near the megabyte that the store takes, and all must be seen in the end.
+func TestZoneLostFitsTheStore(t *testing.T) {
+	const instances, most = 2000, 300 << 10
+	in := inputOf(instances)
+	for i := range in.Listed {
+		in.Listed[i].State = pointport.InstanceDown
+	}
+	for round := 0; ; round++ {
+		c := assign.Decide(in)
+		if c.Empty() {
+			break
+		}
+		if round > 10 {
+			t.Fatal("the decisions do not come to rest")
+		}
+		data, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data) > most {
+			t.Fatalf("a change has %d bytes, want at most %d", len(data), most)
+		}
+		c.Version = in.State.Version() + 1
+		if in.State, err = in.State.Apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range in.State.Members() {
+		if m.Phase != assign.Failed {
+			t.Fatalf("%s is %s", m.ID, m.Phase)
+		}
+	}
+}
+
+// TestLostInstanceIsReplaced fails an instance for good. A spare one must take
+// its place, and nothing else may move.
+func TestLostInstanceIsReplaced(t *testing.T) {
+	in := inputOf(250) // 51 pools of 4, and 46 spare instances
+	before := make(map[pointport.InstanceID]assign.Member)
+	for _, m := range in.State.Members() {
+		before[m.ID] = m
+	}
+	lost := in.Listed[0].ID
+	pool := before[lost].Pool
+	in.Listed = in.Listed[1:]
+	in.Absent = map[pointport.InstanceID]time.Time{lost: in.Now}
+	in.Now = in.Now.Add(31 * time.Second)
+	in.State = settle(in)
+	moved := 0
+	for _, m := range in.State.Members() {
+		if m.Pool != before[m.ID].Pool {
+			moved++
+			if m.Pool != pool || before[m.ID].Phase != assign.Spare {
+				t.Errorf("%s went from %q to %q", m.ID, before[m.ID].Pool, m.Pool)
+			}
+		}
+	}
+	if m, _ := in.State.Member(lost); m.Phase != assign.Failed || moved != 1 {
+		t.Errorf("the lost instance is %s and %d instances moved", m.Phase, moved)
+	}
+}
--- a/assign/maintain.go
+++ b/assign/maintain.go
@@ -110,7 +110,7 @@
 		return
 	}
 	for _, m := range d.candidates(t, due, racks) {
-		if room == 0 {
+		if room == 0 || d.full() {
 			return
 		}
 		room--
--- a/assign/observe.go
+++ b/assign/observe.go
@@ -26,7 +26,7 @@
 // welcome takes in instances that were not known.
 func (d *decision) welcome() {
 	for _, i := range d.in.Listed {
-		if _, known := d.member[i.ID]; known || i.State != pointport.InstanceLive {
+		if _, known := d.member[i.ID]; known || i.State != pointport.InstanceLive || d.full() {
 			continue
 		}
 		d.set(Member{
--- a/assign/size.go
+++ b/assign/size.go
@@ -92,7 +92,7 @@
 
 // fill takes spare instances into the pool, where it has the fewest.
 func (d *decision) fill(t *config.Template, missing int) {
-	for ; missing > 0; missing-- {
+	for ; missing > 0 && !d.full(); missing-- {
 		m, ok := d.bestSpare(t)
 		if !ok {
 			d.askSurplus(t, missing)
@@ -138,7 +138,7 @@
 		}
 	})
 	for _, other := range d.in.Templates {
-		for surplus := len(d.held(other)) - d.need(other); surplus > 0 && coming < missing; surplus-- {
+		for surplus := len(d.held(other)) - d.need(other); surplus > 0 && coming < missing && !d.full(); surplus-- {
 			m, ok := d.leastMissed(other)
 			if !ok || !m.Shape.Fits(t.Pool.Shape) || d.budgetRoom(other) <= 0 {
 				break
@@ -170,7 +170,7 @@
 	if d.in.Now.Sub(p.SurplusSince) < keepSurplus(t) {
 		return
 	}
-	for ; surplus > 0; surplus-- {
+	for ; surplus > 0 && !d.full(); surplus-- {
 		m, ok := d.leastMissed(t)
 		if !ok || d.budgetRoom(t) <= 0 {
 			return
