--- /dev/null
+++ b/cli/all.go
@@ -0,0 +1,18 @@
+package cli
+
+// This file defines which subcommands each program has.
+
+// A Group is subcommands that are shown together.
+type Group struct {
+	Name     string
+	Commands []*Command
+}
+
+// OperatorGroups returns the subcommands of pointport.
+func OperatorGroups() []Group {
+	return []Group{
+		{"commands", []*Command{Apply(), Delete(), Wave(), Job()}},
+		{"queries", []*Command{Get(), Status(), Audit(), Explain()}},
+		{"trials", []*Command{Standin(), Load(), Evaluate()}},
+	}
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -53,6 +53,9 @@
 // Synopsis returns one line on what the subcommand does.
 func (c *Command) Synopsis() string { return c.synopsis }
 
+// Args describes the subcommand's arguments.
+func (c *Command) Args() string { return c.args }
+
 // Usage returns how the subcommand is called.
 func (c *Command) Usage() string {
 	return fmt.Sprintf("%s [flags] %s\n\n%s.\nEvery flag is also an environment variable, named in brackets; the flag wins.\n\n", c.name, c.args, c.synopsis)
@@ -64,6 +67,9 @@
 // Settings returns the names of the subcommand's settings.
 func (c *Command) Settings() []string { return c.set.All() }
 
+// Help returns what one of the subcommand's settings is for.
+func (c *Command) Help(setting string) string { return c.set.Help(setting) }
+
 // Execute loads the settings and runs the subcommand.
 func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if err := c.set.Load(f, os.LookupEnv); err != nil {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -111,3 +111,36 @@
 		}
 	}
 }
+
+// TestCommandsPage keeps docs/operators/commands.md and the subcommands the
+// same: each flag with its help, and no other.
+func TestCommandsPage(t *testing.T) {
+	data, err := os.ReadFile("../docs/operators/commands.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := make(map[string]bool)
+	section := ""
+	for _, line := range strings.Split(string(data), "\n") {
+		if name, ok := strings.CutPrefix(line, "### pointport "); ok {
+			section, _, _ = strings.Cut(name, " ")
+		}
+		if strings.HasPrefix(line, "| `-") {
+			rows[section+" "+line] = true
+		}
+	}
+	for _, g := range OperatorGroups() {
+		for _, c := range g.Commands {
+			for _, s := range c.Settings() {
+				row := c.Name() + " | `-" + s + "` | " + c.Help(s) + " |"
+				if !rows[row] {
+					t.Errorf("docs/operators/commands.md lacks, under pointport %s,\n%s", c.Name(), strings.TrimPrefix(row, c.Name()+" "))
+				}
+				delete(rows, row)
+			}
+		}
+	}
+	for row := range rows {
+		t.Errorf("docs/operators/commands.md has a row that is no flag: %s", row)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -266,6 +266,9 @@
 	return out
 }
 
+// Help returns what a setting is for.
+func (s *Set) Help(name string) string { return s.byName[name].help }
+
 // Load reads every setting: from f if the flag was given, else from the
 // environment, else its default. Its error joins an *Error for each setting
 // that is wrong.
