Let an upstream go when its caller takes nothing

Cause: a caller that asks for a long answer and reads none of it held its upstream for ever: writes to it have no deadline, and the request's own does not interrupt a blocked write. Change: an answer may be written until a second after the request's deadline. Seen: TestCallerThatTakesNothing fails without it (30 s in vain), passes with.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -143,6 +143,13 @@
 		write("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(wholeBody), wholeBody[:5])
 	case "cut-long":
 		write("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", longAnswer, strings.Repeat("x", longAnswer/2))
+	case "endless":
+		write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for {
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", 1<<16, strings.Repeat("x", 1<<16)); err != nil {
+				return false
+			}
+		}
 	case "cut-chunked":
 		write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n%s\r\n", wholeBody[:5])
 	case "unframed":
--- a/gateway/property_test.go
+++ b/gateway/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -79,3 +80,18 @@
 	<-r.done
 	return 0, fmt.Errorf("the caller gives up")
 }
+
+// TestCallerThatTakesNothing asks for a long answer and reads none of it. The
+// upstream must be let go.
+func TestCallerThatTakesNothing(t *testing.T) {
+	s := &script{steps: []string{"endless"}, release: make(chan struct{})}
+	b := newBench(t, "200ms", serveScript(t, s))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /repeatable HTTP/1.1\r\nHost: a\r\n\r\n")
+	until(t, "the request reaches the upstream", func() bool { return s.count() == 1 })
+	until(t, "the upstream is let go", func() bool { return b.gateway.Status()[0].Upstreams[0].InFlight == 0 })
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,6 +20,10 @@
 // backoff is the mean pause before the second attempt; it doubles with each.
 const backoff = 5 * time.Millisecond
 
+// writeGrace is how long after its deadline an answer may still be written, so
+// that a caller can be told that the deadline has passed.
+const writeGrace = time.Second
+
 // takenRetryAfter is what a caller is told whose key is in progress.
 const takenRetryAfter = 2 * time.Second
 
@@ -30,6 +34,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
+	// A connection that is used again must not keep the last request's deadlines.
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{})
 	x, problem := g.check(r)
 	if problem != nil {
 		g.finish("", problem.outcome, 0)
@@ -71,6 +78,8 @@
 func (g *Gateway) serve(w http.ResponseWriter, x *exchange) outcome {
 	ctx, cancel := context.WithTimeout(x.in.Context(), x.deadline.Sub(g.clock.Now()))
 	defer cancel()
+	// A caller that does not take its answer must not hold an upstream.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(x.deadline.Sub(g.clock.Now()) + writeGrace))
 	if problem := g.readBody(w, x); problem != nil {
 		return g.refuse(w, x, problem)
 	}
