Read the list once in the process that plans; wait on without reading back

Cause: experiments/capacity.sh, 200 instances: an entry instance received 10787 bytes a second at rest. After each wait for a segment that does not exist yet, it read the sealed segment before it, 80 KB. The process that plans read and decoded the list twice. Change: a wait that ends unchanged is begun again; only a node that has heard nothing for five minutes looks if it can read on. The planner tells its own process what it has read. Seen: go test ./changelog ./daemon ./planner passes; measured again next. Conclusion: open until measured.

--- a/changelog/log.go
+++ b/changelog/log.go
@@ -42,6 +42,10 @@
 	DefaultRetention = 4096
 	// removeAtOnce bounds how many old segments one compaction removes.
 	removeAtOnce = 2 * DefaultSnapshotEvery
+	// sleepBound is the time without an answer after which a node looks if the
+	// log can still be read on from where it is. Waits are shorter, and segments
+	// are kept far longer.
+	sleepBound = 5 * time.Minute
 	// retryPause is how long the follower waits after a failed call.
 	retryPause = 500 * time.Millisecond
 )
@@ -201,6 +205,10 @@
 	var t *tail[S, C]
 	cut := false
 	for ctx.Err() == nil {
+		if g.clock.Now().Sub(g.Heard()) > sleepBound {
+			// What this node waits for may have come and gone meanwhile.
+			t = nil
+		}
 		next, err := g.step(ctx, t)
 		if err != nil {
 			if !cut && ctx.Err() == nil {
@@ -238,12 +246,12 @@
 		return nil, err
 	}
 	switch {
-	case !e.Exists():
-		// Nothing came, or the segment was removed while this node slept.
-		return g.load(ctx)
 	case e.Revision() == t.revision:
 		// The wait ended. The answer need not hold the value again.
 		return t, nil
+	case !e.Exists():
+		// The segment was removed while this node slept.
+		return g.load(ctx)
 	}
 	return g.advance(t, e)
 }
--- a/daemon/feeder.go
+++ b/daemon/feeder.go
@@ -68,9 +68,12 @@
 // pollList reads the platform's list, which lags, for signs of leaving.
 func (f *feeder) pollList(ctx context.Context) {
 	for ctx.Err() == nil {
-		// Other zones' instances are known by their planners' logs.
-		list, err := f.entry.platform.Instances(ctx, pointport.ZoneID(f.entry.settings.zone))
-		f.take(ctx, list, err)
+		// Other zones' instances are known by their planners' logs. While this
+		// process plans, the planner's own readings do.
+		if !f.entry.held() {
+			list, err := f.entry.platform.Instances(ctx, pointport.ZoneID(f.entry.settings.zone))
+			f.take(ctx, list, err)
+		}
 		select {
 		case <-f.entry.clock.After(f.entry.listPause()):
 		case <-ctx.Done():
@@ -78,6 +81,9 @@
 	}
 }
 
+// planned takes in a reading of the planner in this process.
+func (f *feeder) planned(list []pointport.Instance) { f.take(context.Background(), list, nil) }
+
 func (f *feeder) take(ctx context.Context, list []pointport.Instance, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -63,6 +63,7 @@
 	logger   *slog.Logger
 	author   string
 	pause    func() time.Duration
+	listedTo func([]pointport.Instance)
 
 	store  pointport.Store
 	ledger ledger // as last read or written
@@ -81,6 +82,11 @@
 // WithPause sets how long the planner waits between two looks.
 func WithPause(pause func() time.Duration) Option { return func(p *Planner) { p.pause = pause } }
 
+// WithListed sets who else is told of each reading of the platform's list.
+func WithListed(told func([]pointport.Instance)) Option {
+	return func(p *Planner) { p.listedTo = told }
+}
+
 // WithAuthor sets the name under which the planner writes.
 func WithAuthor(a string) Option { return func(p *Planner) { p.author = a } }
 
@@ -90,7 +96,8 @@
 		store: store,
 		zone:  zone, zones: zones, clock: clock, fleet: fleet, configs: configs, log: log,
 		election: election, logger: slog.New(slog.DiscardHandler), author: "planner", pause: func() time.Duration { return DefaultInterval },
-		seen: newTracker(),
+		listedTo: func([]pointport.Instance) {},
+		seen:     newTracker(),
 	}
 	for _, o := range options {
 		o(p)
@@ -162,6 +169,7 @@
 		return err
 	}
 	p.listed = listed
+	p.listedTo(listed)
 	p.seen.look(p.clock.Now(), p.log.State(), listed)
 	return p.decide(ctx, p.log.State())
 }
