Retry a streamed body only if it was not looked into

Cause: reading the code again: before the first byte of a request of unknown length the transport reads a byte of its body, so a streamed body could lose it in a second attempt after a failure in which nothing was sent. Change: the body knows whether it was read. An upstream's own Pointport-Ran header is not passed on, because callers trust it. Seen: go test -race ./gateway passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 	held   []byte // the answer's body, if it was short enough to hold back
 	whole  bool   // whether held is the whole body
 	err    error
+	body   *onceBody
 	sent   sentTrace
 }
 
@@ -68,7 +69,8 @@
 // if that is short.
 func (a *attempt) send(ctx context.Context) {
 	trace := &httptrace.ClientTrace{GotConn: a.sent.gotConn}
-	req := a.x.outgoing(httptrace.WithClientTrace(ctx, trace), a.grant.Instance().Address)
+	a.body = a.x.body()
+	req := a.x.outgoing(httptrace.WithClientTrace(ctx, trace), a.grant.Instance().Address, a.body)
 	a.answer, a.err = a.peer.transport.RoundTrip(req)
 	if a.err != nil {
 		a.end = endUnknown
@@ -124,7 +126,7 @@
 }
 
 // outgoing returns the request for the upstream at address.
-func (x *exchange) outgoing(ctx context.Context, address string) *http.Request {
+func (x *exchange) outgoing(ctx context.Context, address string, body io.ReadCloser) *http.Request {
 	in := x.in
 	out := &http.Request{
 		Method: in.Method,
@@ -135,7 +137,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header:        in.Header.Clone(),
 		Host:          in.Host,
-		Body:          x.body(),
+		Body:          body,
 		ContentLength: x.length(),
 	}
 	removeHopByHop(out.Header)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -45,6 +45,7 @@
 		h[name] = values
 	}
 	removeHopByHop(h)
+	h.Del(HeaderRan) // only a refusal of this gateway says it
 	for name := range a.answer.Trailer {
 		h.Add("Trailer", name)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -195,11 +196,11 @@
 
 // body returns the request's body for one attempt. It is never a type that the
 // transport knows how to send a second time.
-func (x *exchange) body() io.ReadCloser {
+func (x *exchange) body() *onceBody {
 	if x.whole {
-		return &onceBody{Reader: bytes.NewReader(x.head)}
+		return &onceBody{from: bytes.NewReader(x.head)}
 	}
-	return &onceBody{Reader: io.MultiReader(bytes.NewReader(x.head), x.in.Body)}
+	return &onceBody{from: io.MultiReader(bytes.NewReader(x.head), x.in.Body)}
 }
 
 // length returns the body's length, or -1 if it is not known.
@@ -213,8 +214,18 @@
 	return x.in.ContentLength
 }
 
-// An onceBody hides what it reads from, so that it cannot be rewound.
-type onceBody struct{ io.Reader }
+// An onceBody hides what it reads from, so that it cannot be rewound, and knows
+// whether it has been read.
+type onceBody struct {
+	from io.Reader
+	read atomic.Bool
+}
+
+// Read reads on.
+func (b *onceBody) Read(p []byte) (int, error) {
+	b.read.Store(true)
+	return b.from.Read(p)
+}
 
 // Close does nothing: the server closes the caller's body.
 func (*onceBody) Close() error { return nil }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -253,8 +253,8 @@
 	safe := false
 	switch a.end {
 	case endUnsent:
-		// No byte was sent, so the body is whole or was never read.
-		safe = true
+		// No byte was sent, but the transport may have looked into the body.
+		safe = x.whole || a.body == nil || !a.body.read.Load()
 	case endNotRun:
 		safe = x.whole && (x.repeatable() || x.claims())
 	case endUnknown:
