Let an evaluated world come to rest before it is measured

Cause: with the steps of one change bounded, a world of 2000 instances was not filled when the roll-out began (worst budget left -1800). Change: a world steps until a decision changes nothing. An experiment measures how soon a change is in force at all entry instances. Seen: go test ./evaluate passes.

--- a/evaluate/world.go
+++ b/evaluate/world.go
@@ -80,7 +80,8 @@
 		w.machines = append(w.machines, m)
 		w.byID[m.info.ID] = m
 	}
-	for range len(templates) + 2 {
+	for changes := -1; changes != w.tally.Changes; {
+		changes = w.tally.Changes
 		w.Step(time.Second)
 	}
 	w.tally = Tally{WorstLeft: w.leastLeft()}
--- a/experiments/run.sh
+++ b/experiments/run.sh
@@ -3,7 +3,7 @@
 # with 48 instances of 8 slots in four availability zones, and nine entry
 # instances as processes of their own. Prints rows for the page's tables.
 #
-#   experiments/run.sh NAME...    names: steady burst zone-loss drain claims
+#   experiments/run.sh NAME...    names: steady burst zone-loss drain claims config
 #
 # CHOOSER, OWN, OTHER, SERVICE_TIME and SECONDS_EACH change the entry instances'
 # chooser and fixed shares of connections, how long an instance runs a request,
@@ -142,6 +142,17 @@
 	done
 }
 
+config() {
+	start_cluster
+	local operators=()
+	for n in "${!entry_zones[@]}"; do operators+=("http://127.0.0.1:$((8301 + 10 * n))"); done
+	sleep 10
+	echo "| changes | entry instances | p50 ms | most ms |"
+	echo "| --- | --- | --- | --- |"
+	python3 experiments/inforce.py 50 "${operators[@]}"
+	stop_cluster
+}
+
 for name in "$@"; do
 	case $name in
 	steady) steady ;;
@@ -149,8 +160,9 @@
 	zone-loss) zone_loss ;;
 	drain) drain ;;
 	claims) claims ;;
+	config) config ;;
 	*)
-		echo "$name: must be one of steady, burst, zone-loss, drain, claims" >&2
+		echo "$name: must be one of steady, burst, zone-loss, drain, claims, config" >&2
 		exit 2
 		;;
 	esac
