Resume a wave that stopped itself in one command

Cause: a wave that stopped itself still stands as running, so resume changed nothing and made no new version. Seen: TestStoppedWaveGoesOn: stopped after 2 failures, no step in 300 s, ended after the next version.

--- a/cli/config.go
+++ b/cli/config.go
@@ -76,6 +76,8 @@
 	source string
 	id     string
 	force  bool
+	// always makes a new version also of an object that stands as it should.
+	always bool
 	done   []applied
 }
 
@@ -118,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	if have.Version != 0 && sameObject(have.Object, o) {
+	if have.Version != 0 && !a.always && sameObject(have.Object, o) {
 		a.done = append(a.done, applied{o.ID(), "unchanged", have.Version, ""})
 		return nil
 	}
@@ -236,6 +238,8 @@
 			return err
 		}
 		a := &applier{client: o.client(), author: o.author, reason: reason, source: "wave", id: uuid.NewString()}
+		// A wave that stopped itself goes on at its next version.
+		a.always = args[0] == "resume"
 		w, err := steer(ctx, a, args[0], args[1], template, racks)
 		if err != nil {
 			return err
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -391,3 +391,38 @@
 		t.Errorf("a list that missed instances for 20 s made %d changes", after-before)
 	}
 }
+
+// TestStoppedWaveGoesOn lets a wave stop itself, and an operator resume it.
+func TestStoppedWaveGoesOn(t *testing.T) {
+	s := newScene(t, 12)
+	s.cfg.add(t, "kind: Template\nname: pool\npool: {size: 12}\nmaintenance: {budget: \"4\", speed: \"100%\", drainQuiet: 2s, drainBound: 1m, returnBound: 1m, stopAfter: 2}\n")
+	s.fleet.dead["i0"], s.fleet.dead["i1"] = true, true
+	p := s.planner()
+	wave := func(seconds int) assign.Wave {
+		for range seconds {
+			if err := p.Round(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			s.clock.Advance(time.Second)
+		}
+		log := s.log()
+		if err := log.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		w, _ := log.State().Wave("wave")
+		return w
+	}
+	stopped := wave(300)
+	if stopped.Stopped == "" || stopped.FailedCount != 2 {
+		t.Fatalf("the wave stands as %+v, want it stopped after 2 failures", stopped)
+	}
+	if later := wave(300); later.Done != stopped.Done {
+		t.Errorf("a stopped wave went on from %d to %d", stopped.Done, later.Done)
+	}
+	delete(s.fleet.dead, "i0")
+	delete(s.fleet.dead, "i1")
+	s.cfg.add(t, "kind: Wave\nname: wave\ntemplate: pool\n") // as resume does
+	if w := wave(600); w.Ended.IsZero() || w.Done < 10 {
+		t.Errorf("after resume the wave stands as %+v", w)
+	}
+}
