--- a/changelog/log.go
+++ b/changelog/log.go
@@ -35,6 +35,8 @@
 	// the tail again at every change, so a small segment saves bytes.
 	DefaultSegment = 8
 	// sealBytes is the size from which a segment takes no more changes, in bytes.
+	// Like the segment's length it belongs to the stored form, and must not change
+	// while nodes of an older version run.
 	sealBytes = 8 << 10
 	// DefaultSnapshotEvery is how many segments pass between snapshots.
 	DefaultSnapshotEvery = 64
--- a/claim/book.go
+++ b/claim/book.go
@@ -23,7 +23,9 @@
 	// entry instance must use the same number; docs/design/claims.md says why
 	// it is small.
 	DefaultPartitions = 1
-	// DefaultSegment is how many records seal a segment.
+	// DefaultSegment is how many records seal a segment. It belongs to the stored
+	// form: entry instances that disagree on it would not see each other's
+	// claims, so it must not change while older ones run.
 	DefaultSegment = 256
 	// DefaultRetention is how long claims are kept.
 	DefaultRetention = 24 * time.Hour
