Know at once how a key's work ended

Cause: trying the README in a new clone: a key asked for again right after its answer was said to be in progress, because its outcome was in the very batch that the second request had set off. Change: a batch looks at its own outcomes too. An experiment freezes, cuts and kills whole processes during a wave. Seen: TestOutcomeIsKnownAtOnce fails before and passes after.

--- a/claim/book.go
+++ b/claim/book.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -263,11 +264,11 @@
 }
 
 // latest returns what is known of a key, with an outcome that waits for its
-// write.
-func (d *desk) latest(key Key, k known) known {
+// write, in this batch or after it.
+func (d *desk) latest(key Key, k known, batch []record) known {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, o := range d.outcomes {
+	for _, o := range slices.Concat(batch, d.outcomes) {
 		if o.Key == key && digest(o.Token) == k.token && o.State != Released {
 			k = k.withOutcome(o)
 		}
--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -399,3 +399,21 @@
 		}
 	})
 }
+
+// TestOutcomeIsKnownAtOnce asks for a key again right after its work ended, at
+// the entry instance that ran it.
+func TestOutcomeIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := claim.Start(t.Context(), memory.New(clock.System{}), clock.System{}, "a")
+		ticket, err := book.Claim(t.Context(), key(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticket.Settle(claim.Ran, 200)
+		_, err = book.Claim(t.Context(), key(1))
+		var taken *claim.TakenError
+		if !errors.As(err, &taken) || taken.State != claim.Ran {
+			t.Errorf("got %v, want that it ran", err)
+		}
+	})
+}
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -90,7 +90,7 @@
 			batch[w.key] = true
 			c.grant(w)
 		case ok:
-			w.answer(c.desk.latest(w.key, k).taken(now))
+			w.answer(c.desk.latest(w.key, k, c.outcomes).taken(now))
 		case batch[w.key]:
 			w.answer(&TakenError{State: InProgress, At: now})
 		default:
--- a/experiments/run.sh
+++ b/experiments/run.sh
@@ -4,6 +4,7 @@
 # instances as processes of their own. Prints rows for the page's tables.
 #
 #   experiments/run.sh NAME...    names: steady burst zone-loss drain claims config
+#   faults
 #
 # CHOOSER, OWN, OTHER, SERVICE_TIME and SECONDS_EACH change the entry instances'
 # chooser and fixed shares of connections, how long an instance runs a request,
@@ -142,6 +143,34 @@
 	done
 }
 
+faults() {
+	start_cluster
+	seconds=60
+	"$bin/pointport" wave -server=http://127.0.0.1:8381 -template=tips start faults >/dev/null
+	(
+		sleep 5
+		kill -STOP "${entry_pid[0]}" # an entry instance sleeps past its lease
+		sleep 15
+		kill -CONT "${entry_pid[0]}"
+		sleep 4
+		curl -s -X POST "http://127.0.0.1:$platform_port/standin/outage?down=true" >/dev/null
+		sleep 10
+		curl -s -X POST "http://127.0.0.1:$platform_port/standin/outage" >/dev/null
+		sleep 4
+		kill -9 "${entry_pid[3]}" # an entry instance dies
+	) &
+	header
+	send "repeatable, 500/s" 500 >"$bin/repeatable.row" &
+	local other=$!
+	send "keyed, 100/s, a fifth twice" 100 -path=/payout -method=POST -keyed -repeat=0.2
+	wait "$other"
+	cat "$bin/repeatable.row"
+	sleep 5
+	"$bin/pointport" status -server=http://127.0.0.1:8381 | grep -E 'WAVE|faults'
+	runs
+	stop_cluster
+}
+
 config() {
 	start_cluster
 	local operators=()
@@ -161,8 +190,9 @@
 	drain) drain ;;
 	claims) claims ;;
 	config) config ;;
+	faults) faults ;;
 	*)
-		echo "$name: must be one of steady, burst, zone-loss, drain, claims, config" >&2
+		echo "$name: must be one of steady, burst, zone-loss, drain, claims, config, faults" >&2
 		exit 2
 		;;
 	esac
