--- a/changelog/log.go
+++ b/changelog/log.go
@@ -48,6 +48,8 @@
 	// log can still be read on from where it is. Waits are shorter, and segments
 	// are kept far longer.
 	sleepBound = 5 * time.Minute
+	// behindBound is how long only lower versions may be read before it is said.
+	behindBound = 5 * time.Second
 	// retryPause is how long the follower waits after a failed call.
 	retryPause = 500 * time.Millisecond
 )
@@ -111,7 +113,9 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced when the state changes
 	heardAt time.Time
-	last    *tail[S, C] // the furthest that was read, where the next load begins
+	// behindSince is since when only lower versions were read; zero if not.
+	behindSince time.Time
+	last        *tail[S, C] // the furthest that was read, where the next load begins
 }
 
 // settings are what options change.
@@ -189,11 +193,12 @@
 	defer g.mu.Unlock()
 	g.heardAt = g.clock.Now()
 	have := g.State()
-	if state.Version() == have.Version() {
+	if state.Version() < have.Version() {
+		g.behind(state.Version(), have.Version())
 		return
 	}
-	if state.Version() < have.Version() {
-		event.LogBehind.Log(g.logger, slog.Int64("store", int64(state.Version())), slog.Int64("applied", int64(have.Version())))
+	g.behindSince = time.Time{}
+	if state.Version() == have.Version() {
 		return
 	}
 	g.state.Store(&state)
@@ -202,6 +207,19 @@
 	event.VersionApplied.Log(g.logger, slog.Int64("version", int64(state.Version())))
 }
 
+// behind notes that a lower version was read than the one in force. For a moment
+// that is a reading that this node's own change has overtaken; if it lasts, the
+// store has gone back.
+func (g *Log[S, C]) behind(read, applied pointport.Version) {
+	switch {
+	case g.behindSince.IsZero():
+		g.behindSince = g.heardAt
+	case g.heardAt.Sub(g.behindSince) > behindBound:
+		event.LogBehind.Log(g.logger, slog.Int64("store", int64(read)), slog.Int64("applied", int64(applied)))
+		g.behindSince = g.heardAt
+	}
+}
+
 // follow reads the log and waits at its end, until ctx ends.
 func (g *Log[S, C]) follow(ctx context.Context) {
 	var t *tail[S, C]
--- a/relay/server.go
+++ b/relay/server.go
@@ -69,7 +69,7 @@
 	changed chan struct{} // closed and replaced at every answer of the store
 }
 
-// reply is the stored form of an answer.
+// reply is an answer on the wire.
 type reply struct {
 	Revision pointport.Revision `json:"revision"`
 	Value    []byte             `json:"value,omitempty"`
