--- a/assign/bench_test.go
+++ b/assign/bench_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// BenchmarkWantFloats measures how the floating budgets of all pools are worked
+// out, which goes before each decision.
+func BenchmarkWantFloats(b *testing.B) {
+	for _, n := range sizes {
+		in := inputOf(n)
+		in.Zones = []pointport.ZoneID{"zone-a", "zone-b", "zone-c"}
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for b.Loop() {
+				assign.WantFloats(in)
+			}
+		})
+	}
+}
+
 // BenchmarkState measures what a zone's state takes in memory and in the store.
 func BenchmarkState(b *testing.B) {
 	for _, n := range sizes {
--- a/assign/float.go
+++ b/assign/float.go
@@ -6,23 +6,35 @@
 
 // This file defines how much of the floating part of a budget a zone wants.
 
-// WantFloat returns how much of a pool's floating budget the zone should hold:
-// what is out of service beyond its even share, and one more while something is
-// due and nothing more may go out.
-func WantFloat(in Input, t *config.Template, even int) int {
+// WantFloats returns how much of each pool's floating budget the zone should
+// hold: what is out of service beyond its even share, and one more while
+// something is due and nothing more may go out. Pools without a floating budget
+// are left out, unless the zone holds some from before.
+func WantFloats(in Input) map[string]int {
 	d := newDecision(&in)
+	out := make(map[string]int)
+	for _, t := range in.Templates {
+		if FloatTotal(t, in.Zones) > 0 || in.State.Pool(t.Name).Float > 0 {
+			out[t.Name] = d.wantFloat(t)
+		}
+	}
+	return out
+}
+
+func (d *decision) wantFloat(t *config.Template) int {
+	zones, even := d.in.Zones, ZoneShare(t, d.in.Zones)
 	working := 0
 	for _, m := range d.inPool(t.Name) {
 		if d.works(m) {
 			working++
 		}
 	}
-	out := ZoneSize(t, in.Zones, in.Zone) - working
+	out := ZoneSize(t, zones, d.in.Zone) - working
 	want := max(0, out-even)
 	if out >= even && d.anyDue(t) {
 		want++
 	}
-	return min(want, FloatTotal(t, in.Zones))
+	return min(want, FloatTotal(t, zones))
 }
 
 // anyDue reports whether a wave over the pool has an instance left to take.
--- a/planner/ledger.go
+++ b/planner/ledger.go
@@ -63,14 +63,7 @@
 
 // wants returns what the zone should hold of each pool's floating budget.
 func (p *Planner) wants(state *assign.State) map[string]int {
-	in := p.input(p.clock.Now(), state, p.listed)
-	out := make(map[string]int)
-	for _, t := range in.Templates {
-		if assign.FloatTotal(t, p.zones) > 0 || state.Pool(t.Name).Float > 0 {
-			out[t.Name] = assign.WantFloat(in, t, assign.ZoneShare(t, p.zones))
-		}
-	}
-	return out
+	return assign.WantFloats(p.input(p.clock.Now(), state, p.listed))
 }
 
 // settleFloats takes and gives back floating budget, and returns the state
