pointport plan: what a change would move, before it is applied

Cause: operators raise parameters before a burst and want to know first which pools would miss instances and what would move. Change: a forecast lets the decisions run on themselves to their end.

--- a/assign/decide_test.go
+++ b/assign/decide_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/assign"
+	"github.com/pointport/pointport/config"
 )
 
 // TestZoneLostFitsTheStore loses a zone of 2000 instances at once. No change may
@@ -71,3 +72,25 @@
 		t.Errorf("the lost instance is %s and %d instances moved", m.Phase, moved)
 	}
 }
+
+// TestForesee forecasts a pool that grows, one that must wait for another's
+// surplus, and a wave. It must change nothing, and end.
+func TestForesee(t *testing.T) {
+	in := inputOf(250) // 51 pools of 4, and 46 spare instances
+	in.Now = in.Now.Add(time.Hour)
+	version := in.State.Version()
+	grown := *in.Templates[0]
+	grown.Pool.Size = 60
+	in.Templates = append([]*config.Template{&grown}, in.Templates[1:]...)
+	in.Waves = []assign.WaveOrder{{Wave: &config.Wave{Name: "wave", Template: "pool-1", State: config.WaveRun}, Version: 1}}
+	f := assign.Foresee(in)
+	if f.Moves != 46 || f.Reboots != 4 {
+		t.Errorf("%d moves and %d reboots, want 46 and 4", f.Moves, f.Reboots)
+	}
+	if p := f.Pools[0]; p.Before != 4 || p.After != 50 || p.Need != 60 || p.Missing != 10 {
+		t.Errorf("the pool that grows: %+v", p)
+	}
+	if in.State.Version() != version {
+		t.Error("the forecast changed the state")
+	}
+}
--- a/cli/query.go
+++ b/cli/query.go
@@ -128,3 +128,40 @@
 	}
 	return c
 }
+
+// Plan returns the subcommand that shows what a file would do.
+func Plan() *Command {
+	c := newCommand("plan", "", "show what applying a file would move and maintain, if nothing failed, and change nothing")
+	var o operatorFlags
+	o.define(c)
+	var file string
+	c.set.String(&file, "f", "", "file in YAML or JSON, or - for standard input")
+	c.run = func(ctx context.Context, out io.Writer, args []string) error {
+		if err := need(args, 0, "no arguments beside -f FILE"); err != nil {
+			return err
+		}
+		objects, err := readObjects(file)
+		if err != nil {
+			return err
+		}
+		var list []assign.Forecast
+		if err := o.client().Call(ctx, http.MethodPost, "/v1/plan", nil, objects, &list); err != nil {
+			return err
+		}
+		return o.print(out, list, func(w io.Writer) { printPlan(w, list) })
+	}
+	return c
+}
+
+func printPlan(w io.Writer, list []assign.Forecast) {
+	fmt.Fprintln(w, "ZONE\tMOVES\tREBOOTS")
+	for _, f := range list {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", f.Zone, f.Moves, f.Reboots)
+	}
+	fmt.Fprintln(w, "\nPOOL\tZONE\tBEFORE\tAFTER\tNEED\tMISSING\tMAY BE OUT")
+	for _, f := range list {
+		for _, p := range f.Pools {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, f.Zone, p.Before, p.After, p.Need, p.Missing, p.Room)
+		}
+	}
+}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -255,3 +255,24 @@
 		t.Errorf("got %v, want a race that names version 1 and ana", err)
 	}
 }
+
+// TestPlanChangesNothing asks what a template would do before it is applied.
+func TestPlanChangesNothing(t *testing.T) {
+	_, _, platform := startPlatform(t)
+	e := startEntry(t, platform, "a")
+	until(t, "all instances are known", func() bool { return len(e.assigns["zone-a"].State().Members()) == 8 })
+	objects, err := config.Parse("test", []byte(shiftTemplate))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []assign.Forecast
+	if err := operator.NewClient(e.Address("operators")).Call(context.Background(), http.MethodPost, "/v1/plan", nil, objects, &list); err != nil {
+		t.Fatal(err)
+	}
+	if len(list) != 1 || list[0].Moves != 5 {
+		t.Errorf("got %+v, want 5 moves in one zone", list)
+	}
+	if v := e.configs.State().Version(); v != 0 {
+		t.Errorf("the plan made configuration version %d", v)
+	}
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -53,6 +54,7 @@
 	app.Get("/v1/status", a.handle(a.status))
 	app.Get("/v1/audit", a.handle(a.audit))
 	app.Get("/v1/explain/{kind}/{name}", a.handle(a.explain))
+	app.Post("/v1/plan", a.handle(a.plan))
 	app.Post("/v1/jobs", a.handle(a.submit))
 	app.Get("/v1/jobs", a.handle(a.jobs))
 	app.Get("/v1/jobs/{id}", a.handle(a.job))
@@ -243,6 +245,22 @@
 	return a.source.Explain(c.Request().Context(), c.Params().Get("kind"), c.Params().Get("name"))
 }
 
+func (a *API) plan(c iris.Context) (any, error) {
+	var documents []json.RawMessage
+	if err := c.ReadJSON(&documents); err != nil {
+		return nil, coded(err, http.StatusUnprocessableEntity, "invalid")
+	}
+	var objects []config.Object
+	for _, d := range documents {
+		o, err := config.ParseObject("request", d)
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, o)
+	}
+	return a.source.Plan(objects)
+}
+
 func (a *API) submit(c iris.Context) (any, error) {
 	var s command.Submission
 	if err := c.ReadJSON(&s, iris.JSONReader{DisallowUnknownFields: true}); err != nil {
