--- a/experiments/run.sh
+++ b/experiments/run.sh
@@ -4,7 +4,7 @@
 # instances as processes of their own. Prints rows for the page's tables.
 #
 #   experiments/run.sh NAME...    names: steady burst zone-loss drain claims config
-#   faults
+#   faults wave-burst
 #
 # CHOOSER, OWN, OTHER, SERVICE_TIME and SECONDS_EACH change the entry instances'
 # chooser and fixed shares of connections, how long an instance runs a request,
@@ -143,6 +143,17 @@
 	done
 }
 
+wave_burst() {
+	start_cluster
+	header
+	"$bin/pointport" wave -server=http://127.0.0.1:8301 -template=tips start peak >/dev/null
+	send "burst in a wave, 11500/s" 11500
+	send "after, 2500/s" 2500
+	"$bin/pointport" status -server=http://127.0.0.1:8301 | grep -E 'WAVE|peak'
+	runs
+	stop_cluster
+}
+
 faults() {
 	start_cluster
 	seconds=60
@@ -191,8 +202,9 @@
 	claims) claims ;;
 	config) config ;;
 	faults) faults ;;
+	wave-burst) wave_burst ;;
 	*)
-		echo "$name: must be one of steady, burst, zone-loss, drain, claims, config, faults" >&2
+		echo "$name: must be one of steady, burst, zone-loss, drain, claims, config, faults, wave-burst" >&2
 		exit 2
 		;;
 	esac
