--- /dev/null
+++ b/remote/client_test.go
@@ -0,0 +1,122 @@
+package remote_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/remote"
+	"github.com/pointport/pointport/standin"
+)
+
+// TestWhatAFailureSays checks for each way in which a write can fail whether the
+// client says that it may have taken effect, and that nothing is sent twice.
+func TestWhatAFailureSays(t *testing.T) {
+	var calls atomic.Int64
+	answer := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "as the test wants", status) }
+	}
+	for _, c := range []struct {
+		name      string
+		handler   http.HandlerFunc
+		ambiguous bool
+	}{
+		{"refused in an outage", answer(http.StatusServiceUnavailable), false},
+		{"too large", answer(http.StatusRequestEntityTooLarge), false},
+		{"internal error", answer(http.StatusInternalServerError), true},
+		{"connection closed", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+		{"answer cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("{"))
+		}, true},
+		{"answer that is no JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			calls.Store(0)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				c.handler(w, r)
+			}))
+			defer srv.Close()
+			_, err := remote.New(srv.URL).CompareAndSwap(t.Context(), "key", 1, []byte("value"))
+			var down *pointport.UnavailableError
+			if !errors.As(err, &down) || down.Ambiguous != c.ambiguous {
+				t.Errorf("got %v, want ambiguous %v", err, c.ambiguous)
+			}
+			if n := calls.Load(); n != 1 {
+				t.Errorf("the write was sent %d times", n)
+			}
+		})
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = remote.New("http://"+address).CompareAndSwap(t.Context(), "key", 1, nil)
+	var down *pointport.UnavailableError
+	if !errors.As(err, &down) || down.Ambiguous {
+		t.Errorf("got %v, want that nothing can have taken effect", err)
+	}
+}
+
+// TestAgainstTheStandin takes every call of the store through the stand-in.
+func TestAgainstTheStandin(t *testing.T) {
+	fleet, err := standin.NewFleet(clock.System{}, standin.WithZones(2, "zone-a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fleet.Close()
+	srv := httptest.NewServer(standin.NewPlatform(memory.New(clock.System{}), fleet))
+	defer srv.Close()
+	c, ctx := remote.New(srv.URL), context.Background()
+	if e, err := c.Get(ctx, "a/b c"); err != nil || e.Exists() {
+		t.Fatalf("a missing key: %v, %v", e, err)
+	}
+	rev, err := c.CompareAndSwap(ctx, "a/b c", 0, []byte{0, 1, 255})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e, err := c.Watch(ctx, "a/b c", 0); err != nil || e.Revision() != rev || string(e.Value()) != "\x00\x01\xff" {
+		t.Errorf("watch: %v, %v", e, err)
+	}
+	var conflict *pointport.ConflictError
+	if _, err := c.CompareAndSwap(ctx, "a/b c", 0, nil); !errors.As(err, &conflict) || conflict.Have != rev {
+		t.Errorf("got %v, want a conflict with revision %d", err, rev)
+	}
+	if err := c.Delete(ctx, "a/b c", rev); err != nil {
+		t.Error(err)
+	}
+	if err := c.Lease(ctx, "planner/a", "one", remote.DefaultTimeout); err != nil {
+		t.Error(err)
+	}
+	var held *pointport.HeldError
+	if err := c.Lease(ctx, "planner/a", "two", remote.DefaultTimeout); !errors.As(err, &held) || held.Holder != "one" {
+		t.Errorf("got %v, want that one holds it", err)
+	}
+	list, err := c.Instances(ctx, "zone-a")
+	if err != nil || len(list) != 2 || c.ListBytes() == 0 {
+		t.Fatalf("instances: %v, %v, %d bytes", list, err, c.ListBytes())
+	}
+	if err := c.Drain(ctx, list[0].ID, list[0].Boots+1); err != nil {
+		t.Error(err)
+	}
+	if list, _ = c.Instances(ctx, "zone-a"); list[0].State != pointport.InstanceLive {
+		t.Error("a drain with another boot count took effect")
+	}
+	var missing *pointport.NotFoundError
+	if err := c.Reboot(ctx, "nobody", 1); !errors.As(err, &missing) {
+		t.Errorf("got %v, want that it does not exist", err)
+	}
+}
