Notice a relay that sleeps within two seconds

Cause: reading again: a frozen relay accepts connections and answers nothing, so the others of its zone saw no change of the configuration until their watch gave up after 22 s, against the 4 s in which it must be in force. Change: while anyone waits through a relay it is asked once a second if it is alive; if not, the watch goes to the store. Seen: TestRelaySleeps fails without the question (nothing in 10 s) and passes with it, in 2 s.

--- a/relay/client.go
+++ b/relay/client.go
@@ -20,6 +20,11 @@
 	clientWait = 20 * time.Second
 	// answerBound is how long beyond that an answer may take.
 	answerBound = 2 * time.Second
+	// probeEvery is how often a relay that is waited for is asked if it is alive,
+	// and probeBound how long it may take to say so. Together they bound how late
+	// a change is seen through a relay that sleeps.
+	probeEvery = time.Second
+	probeBound = time.Second
 	// distrust is how long a relay that gave no answer is left alone.
 	distrust = 30 * time.Second
 )
@@ -34,6 +39,10 @@
 
 	mu    sync.Mutex
 	avoid time.Time // until when the store is watched directly
+
+	probe    sync.Mutex // held while the relay is asked if it is alive
+	probedAt time.Time
+	alive    bool
 }
 
 var _ pointport.Watcher = (*Client)(nil)
@@ -73,7 +82,47 @@
 	c.avoid = c.clock.Now().Add(distrust)
 }
 
+// isAlive reports whether the relay answers. All watches share one answer.
+func (c *Client) isAlive(ctx context.Context, base string) bool {
+	c.probe.Lock()
+	defer c.probe.Unlock()
+	if c.clock.Now().Sub(c.probedAt) < probeEvery/2 {
+		return c.alive
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, base+Path, nil)
+	if err != nil {
+		return false
+	}
+	res, err := c.http.Do(req)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	c.probedAt, c.alive = c.clock.Now(), err == nil
+	return c.alive
+}
+
+// guard ends a relayed watch by cancel once the relay does not answer.
+func (c *Client) guard(ctx context.Context, cancel context.CancelFunc, base string) {
+	for {
+		select {
+		case <-c.clock.After(probeEvery):
+			if !c.isAlive(ctx, base) {
+				cancel()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask waits through the relay at base, as long as that is alive.
 func (c *Client) ask(ctx context.Context, base, key string, after pointport.Revision) (pointport.Entry, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { c.guard(ctx, cancel, base) }()
 	q := url.Values{"key": {key}, "after": {strconv.FormatInt(int64(after), 10)}, "wait": {clientWait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+Path+"?"+q.Encode(), nil)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -137,3 +138,23 @@
 		t.Errorf("got revision %d, %v, want %d", e.Revision(), err, last)
 	}
 }
+
+// TestRelaySleeps freezes the relay's process, which then accepts connections
+// and answers nothing. Whoever waits must go to the store, and not only once its
+// long wait is over.
+func TestRelaySleeps(t *testing.T) {
+	store := memory.New(clock.System{})
+	wake := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-wake }))
+	defer srv.Close()
+	defer close(wake)
+	d := &direct{store: store}
+	c := relay.NewClient(d, clock.System{}, func() string { return srv.URL })
+	rev := write(t, store, 0, "value")
+	const muchLess = 10 * time.Second // than a relayed watch waits
+	ctx, cancel := context.WithTimeout(t.Context(), muchLess)
+	defer cancel()
+	if e, err := c.Watch(ctx, "key", 0); err != nil || e.Revision() != rev {
+		t.Errorf("got revision %d, %v", e.Revision(), err)
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -75,8 +75,13 @@
 	Value    []byte             `json:"value,omitempty"`
 }
 
-// ServeHTTP answers one relayed watch.
+// ServeHTTP answers one relayed watch. To HEAD it answers at once, which says
+// that the process is alive.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodHead {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after: must be a revision", http.StatusBadRequest)
