Keep the end of one watch from spoiling the relay's shared answer

Cause: reading again: a watch that ended while it asked whether the relay is alive would have recorded that it is not, and sent all others to the store. Change: the question outlives the watch that asked it. Seen: go test -race ./relay ./daemon passes. The bytes of the question are worked out, not measured.

--- a/relay/client.go
+++ b/relay/client.go
@@ -89,7 +89,8 @@
 	if c.clock.Now().Sub(c.probedAt) < probeEvery/2 {
 		return c.alive
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeBound)
+	// The answer is shared, so the end of one watch must not spoil it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeBound)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodHead, base+Path, nil)
 	if err != nil {
