--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -426,3 +426,55 @@
 		t.Errorf("after resume the wave stands as %+v", w)
 	}
 }
+
+// TestRackLostWhileNeighbourDrains loses a whole rack while instances of the
+// next one drain. What was begun goes on, and nothing new is begun until enough
+// of the pool works again.
+func TestRackLostWhileNeighbourDrains(t *testing.T) {
+	s := newScene(t, 12)
+	p := s.planner()
+	round := func(seconds int) {
+		for range seconds {
+			if err := p.Round(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			s.clock.Advance(time.Second)
+		}
+	}
+	round(1)
+	begun := make(map[pointport.InstanceID]bool)
+	for id, i := range s.fleet.is {
+		if i.State == pointport.InstanceLeaving {
+			begun[id] = true
+		}
+	}
+	if len(begun) != budget {
+		t.Fatalf("%d instances drain, want %d", len(begun), budget)
+	}
+	lost := []pointport.InstanceID{}
+	for _, id := range s.fleet.order {
+		if !begun[id] && len(lost) < 2 {
+			lost = append(lost, id)
+			s.fleet.is[id].State = pointport.InstanceDown
+			s.fleet.dead[id] = true
+		}
+	}
+	round(300)
+	for _, id := range s.fleet.order {
+		want := 0
+		if begun[id] {
+			want = 1
+		}
+		if n := s.fleet.reboots[id]; n != want {
+			t.Errorf("%s was rebooted %d times while the rack is lost, want %d", id, n, want)
+		}
+	}
+	for _, id := range lost {
+		s.fleet.is[id].State = pointport.InstanceLive
+		s.fleet.is[id].Boots++
+		delete(s.fleet.dead, id)
+	}
+	if w := s.run(t, p); w.Done != 12 {
+		t.Errorf("after the rack came back the wave ended as %+v", w)
+	}
+}
