--- a/cli/join.go
+++ b/cli/join.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/clock"
@@ -52,6 +54,7 @@
 		if err != nil {
 			return err
 		}
+		go reload(work, path, s, n)
 		waitForSignal(ctx)
 		n.Stop()
 		return nil
@@ -59,6 +62,28 @@
 	return c
 }
 
+// reload reads the settings file again at each SIGHUP until ctx ends. A file
+// that cannot be used changes nothing.
+func reload(ctx context.Context, path string, s *platform.Settings, n *node.Node) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		next, err := platform.ReadSettings(path)
+		if err != nil {
+			event.ReloadFailed.Log(n.Logger(), slog.Any("error", err))
+			continue
+		}
+		event.Reloaded.Log(n.Logger(), slog.Any("changed", s.Differences(next)))
+		s = next
+	}
+}
+
 // join starts a node on the services that the settings name.
 func join(ctx context.Context, s *platform.Settings, logger *slog.Logger) (*node.Node, error) {
 	debug.SetGCPercent(garbagePercent)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -8,10 +8,12 @@
 
 // Events of the process.
 var (
-	Started  = define(101, "started", slog.LevelInfo, "The process serves on the addresses given.")
-	Stopping = define(102, "stopping", slog.LevelInfo, "A planned stop has begun; readiness is off.")
-	Stopped  = define(103, "stopped", slog.LevelInfo, "The process ends; inFlight says how many requests were left.")
-	Failed   = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
+	Started      = define(101, "started", slog.LevelInfo, "The process serves on the addresses given.")
+	Stopping     = define(102, "stopping", slog.LevelInfo, "A planned stop has begun; readiness is off.")
+	Stopped      = define(103, "stopped", slog.LevelInfo, "The process ends; inFlight says how many requests were left.")
+	Reloaded     = define(105, "settings reloaded", slog.LevelInfo, "The settings file was read again; changed lists what differs.")
+	ReloadFailed = define(106, "settings kept", slog.LevelError, "The settings file cannot be used; the settings stay as they were.")
+	Failed       = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
 )
 
 // Events of the logs in the store: configuration, assignment and jobs.
--- a/member/roster.go
+++ b/member/roster.go
@@ -10,7 +10,6 @@
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
@@ -79,7 +78,7 @@
 			granted := session.Granted()
 			if err := r.enroll(ctx); err != nil {
 				event.EnrollFailed.Log(logger, slog.Any("error", err))
-				wait(ctx, clock, retryMost)
+				sleep(ctx, clock, retryMost)
 				continue
 			}
 			select {
@@ -91,13 +90,6 @@
 	return r
 }
 
-func wait(ctx context.Context, clock pointport.Clock, d time.Duration) {
-	select {
-	case <-clock.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // enroll puts this member into the roster under its lease.
 func (r *Roster) enroll(ctx context.Context) error {
 	lease := r.session.Lease()
--- a/member/watch.go
+++ b/member/watch.go
@@ -11,60 +11,121 @@
 // This file defines how the keys under a prefix are followed.
 
 const (
-	// watchWait is how long a watch may wait for a change. A watch that was cut
-	// off in silence is noticed when it is over.
-	watchWait = 4 * time.Second
+	// watchWait is how long a watch may wait for a change. The store may be deaf
+	// to changes for a while and a connection may be cut off in silence, so a
+	// watch that hears nothing is never trusted for long.
+	watchWait = time.Second
+	// DefaultReread is how often all keys under a prefix are read again, whatever
+	// the watches say.
+	DefaultReread = 3 * time.Second
 	// retryFirst is how long to wait after the store gave no answer, retryMost
 	// the bound of its doubling.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 )
 
-// Follow keeps a copy of the keys under prefix up to date until ctx ends. Reset
-// is called with all keys when they are read anew, apply with each change; a
-// deleted key is an entry that does not exist.
-func Follow(ctx context.Context, kv pointport.KV, clock pointport.Clock, prefix string, reset, apply func([]pointport.Entry)) {
-	FollowFrom(ctx, kv, clock, prefix, 0, reset, apply)
+// A Follower keeps a copy of the keys under a prefix up to date.
+type Follower struct {
+	kv     pointport.KV
+	clock  pointport.Clock
+	prefix string
+	reset  func([]pointport.Entry)
+	apply  func([]pointport.Entry)
+	reread time.Duration
+	rest   time.Duration
+	at     pointport.Revision
 }
 
-// FollowFrom is Follow for a caller that has read all keys as of revision at; it
-// reads them anew only if at is zero or the changes since are forgotten.
-func FollowFrom(ctx context.Context, kv pointport.KV, clock pointport.Clock, prefix string, at pointport.Revision, reset, apply func([]pointport.Entry)) {
+// A FollowOption changes a Follower.
+type FollowOption func(*Follower)
+
+// From has the follower begin at a revision as of which its caller has read all
+// keys.
+func From(at pointport.Revision) FollowOption { return func(f *Follower) { f.at = at } }
+
+// Reread sets how often all keys are read again, whatever the watches say.
+func Reread(every time.Duration) FollowOption { return func(f *Follower) { f.reread = every } }
+
+// Rest sets how long to wait after a change before the next is asked for, where
+// changes are many and need not be known at once.
+func Rest(d time.Duration) FollowOption { return func(f *Follower) { f.rest = d } }
+
+// Follow follows the keys under prefix until ctx ends. reset is called with all
+// keys when they are read, apply with each change; a deleted key is an entry
+// that does not exist.
+func Follow(ctx context.Context, kv pointport.KV, clock pointport.Clock, prefix string, reset, apply func([]pointport.Entry), options ...FollowOption) {
+	f := &Follower{kv: kv, clock: clock, prefix: prefix, reset: reset, apply: apply, reread: DefaultReread}
+	for _, o := range options {
+		o(f)
+	}
+	f.run(ctx)
+}
+
+func (f *Follower) run(ctx context.Context) {
 	retry := retryFirst
-	known := at > 0
+	read := time.Time{}
+	if f.at > 0 {
+		read = f.clock.Now()
+	}
 	for ctx.Err() == nil {
 		var err error
-		if !known {
-			var all []pointport.Entry
-			if all, at, err = ReadAll(ctx, kv, prefix); err == nil {
-				known = true
-				reset(all)
+		if read.IsZero() || f.clock.Now().Sub(read) >= f.reread {
+			from := f.clock.Now()
+			if err = f.readAll(ctx); err == nil {
+				read = from
 			}
 		} else {
-			var changes pointport.Changes
-			changes, err = kv.WatchPrefix(ctx, prefix, at, watchWait)
+			err = f.watch(ctx)
 			var compacted *pointport.CompactedError
 			if errors.As(err, &compacted) {
-				known, err = false, nil
-			} else if err == nil {
-				at = max(at, changes.At)
-				if len(changes.Entries) > 0 {
-					apply(changes.Entries)
-				}
+				read, err = time.Time{}, nil
 			}
 		}
 		if err == nil {
 			retry = retryFirst
 			continue
 		}
-		select {
-		case <-clock.After(retry):
-		case <-ctx.Done():
-		}
+		// Changes may have been missed in between.
+		read = time.Time{}
+		sleep(ctx, f.clock, retry)
 		retry = min(2*retry, retryMost)
 	}
 }
 
+func (f *Follower) readAll(ctx context.Context) error {
+	all, at, err := ReadAll(ctx, f.kv, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.at = at
+	f.reset(all)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	changes, err := f.kv.WatchPrefix(ctx, f.prefix, f.at, watchWait)
+	if err != nil {
+		return err
+	}
+	f.at = max(f.at, changes.At)
+	if len(changes.Entries) > 0 {
+		f.apply(changes.Entries)
+		sleep(ctx, f.clock, f.rest)
+	}
+	return nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, clock pointport.Clock, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // ReadAll returns all keys under prefix and the revision from which a watch sees
 // every later change of them.
 func ReadAll(ctx context.Context, kv pointport.KV, prefix string) ([]pointport.Entry, pointport.Revision, error) {
--- a/node/follow.go
+++ b/node/follow.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
@@ -16,6 +16,15 @@
 // This file defines what a node follows in the store: the operators'
 // configuration and the registrations of instances.
 
+const (
+	// configReread is how often the configuration is read, whatever the watch
+	// says. It must be in force within two seconds, and the store may be deaf.
+	configReread = time.Second
+	// fleetRest is how long to wait between two changes of registrations, which
+	// change with every heartbeat of every instance.
+	fleetRest = 400 * time.Millisecond
+)
+
 // A Source says where a kind of thing is in the store and how to read it.
 type Source[T any] struct {
 	Prefix string
@@ -32,7 +41,7 @@
 // startConfigs follows the configuration until ctx ends.
 func startConfigs(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[*workload.Catalog], logger *slog.Logger) *configs {
 	c := &configs{source: source, logger: logger}
-	go member.Follow(ctx, kv, clock, source.Prefix, c.take, c.take)
+	go member.Follow(ctx, kv, clock, source.Prefix, c.take, c.take, member.Reread(configReread))
 	return c
 }
 
@@ -67,41 +76,50 @@
 	return nil
 }
 
-// A fleet keeps the registrations of instances.
+// A fleet keeps the registrations of instances, while anybody asks for them.
 type fleet struct {
 	source Source[pointport.Incarnation]
 	logger *slog.Logger
+	start  func() // follows the registrations from the first question on
+	once   sync.Once
 
 	mu      sync.Mutex
 	byKey   map[string]pointport.Incarnation
 	changed chan struct{} // closed and replaced at every change
 }
 
-// startFleet follows the registrations until ctx ends.
-func startFleet(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[pointport.Incarnation], logger *slog.Logger) *fleet {
+// newFleet returns a fleet that follows the registrations from the first
+// question until ctx ends. Most nodes own no pool and need not know them.
+func newFleet(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[pointport.Incarnation], logger *slog.Logger) *fleet {
 	f := &fleet{source: source, logger: logger, byKey: make(map[string]pointport.Incarnation), changed: make(chan struct{})}
-	go member.Follow(ctx, kv, clock, source.Prefix, f.reset, f.apply)
+	f.start = func() {
+		go member.Follow(ctx, kv, clock, source.Prefix, f.reset, f.apply, member.Rest(fleetRest))
+	}
 	return f
 }
 
 func (f *fleet) reset(all []pointport.Entry) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	clear(f.byKey)
-	f.mu.Unlock()
-	f.apply(all)
+	f.take(all)
 }
 
 func (f *fleet) apply(changes []pointport.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range changes {
+	f.take(changes)
+}
+
+func (f *fleet) take(entries []pointport.Entry) {
+	for _, e := range entries {
 		if !e.Exists() {
 			delete(f.byKey, e.Key())
 			continue
 		}
 		inc, err := f.source.Decode(e)
 		if err != nil {
-			event.RegistrationUnreadable.Log(f.logger, slog.String("key", strings.Clone(e.Key())), slog.Any("error", err))
+			event.RegistrationUnreadable.Log(f.logger, slog.String("key", e.Key()), slog.Any("error", err))
 			continue
 		}
 		f.byKey[e.Key()] = inc
@@ -113,6 +131,7 @@
 // Of returns the registrations of a pool's instances, and a channel that is
 // closed when any registration changes.
 func (f *fleet) Of(pool string) ([]pointport.Incarnation, <-chan struct{}) {
+	f.once.Do(f.start)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []pointport.Incarnation
--- a/node/node.go
+++ b/node/node.go
@@ -92,7 +92,7 @@
 	self := member.Member{Name: p.Name, Peer: p.Addresses.Peers, Zone: p.Zone}
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, logger)
-	n.fleet = startFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
+	n.fleet = newFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
 	n.keeper = shard.StartKeeper(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns, IdleConnTimeout: idleTimeout}}
 	owners := peer.NewOwners(n.keeper, n.roster, client, logger)
@@ -145,6 +145,9 @@
 	return nil
 }
 
+// Logger returns where the node logs.
+func (n *Node) Logger() *slog.Logger { return n.logger }
+
 // Ready reports whether the node should get new connections.
 func (n *Node) Ready() bool {
 	return !n.leaving.Load() && n.configs.Catalog() != nil && n.session.Proven()
--- a/shard/load.go
+++ b/shard/load.go
@@ -107,7 +107,7 @@
 	take := func(entries []pointport.Entry) {
 		o.do(func(time.Time) { o.take(entries, nil) })
 	}
-	member.FollowFrom(ctx, o.kv, o.clock, workload.OpenPrefix(o.own.Pool), at, take, take)
+	member.Follow(ctx, o.kv, o.clock, workload.OpenPrefix(o.own.Pool), take, take, member.From(at))
 }
 
 // Submitted tells the owner of a job that was accepted; accepted is its stored
