--- /dev/null
+++ b/capacity/planner.go
@@ -0,0 +1,489 @@
+package capacity
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/schedule"
+)
+
+// This file defines the planner: what it is told, and the sizes of pools.
+
+const (
+	// headroom is how much more room a pool gets than its tasks take, because
+	// rooms do not divide evenly among instances.
+	headroom = 1.2
+	// idleTime is how long an instance is empty before it goes to the spare
+	// pool. A move costs about as much as three seconds of an idle instance.
+	idleTime = 2 * time.Second
+	// lendTime is how long an instance is empty before another pool may take it
+	// although there are spare ones.
+	lendTime = time.Second
+	// settleTime is how long a machine is left alone after it came to a pool.
+	settleTime = 2 * time.Second
+	// orderAgain is after how long an order without an answer is given again.
+	orderAgain = time.Second
+	// listLag is how far the list of machines may be behind what instances say of
+	// themselves.
+	listLag = time.Second
+	// leastInstances is how many instances a pool with a queue keeps.
+	leastInstances = 1
+)
+
+// Settings are what a planner must know of the platform.
+type Settings struct {
+	MoveTime   time.Duration // how long a move takes an instance away
+	UpkeepTime time.Duration // how long maintenance takes it away
+}
+
+// An Order is to be given to the platform: a move if Pool is set, else
+// maintenance for a wave.
+type Order struct {
+	Machine pointport.InstanceID
+	Pool    string
+	Wave    int64
+	Reason  string
+}
+
+// A Decision is what to do now.
+type Decision struct {
+	// Closures lists, for each pool, the instances to close.
+	Closures map[string][]schedule.Closure
+	// Fresh reports whether an instance is to be closed that was not before.
+	Fresh  bool
+	Orders []Order
+}
+
+// A machine is what the planner knows of one.
+type machine struct {
+	id       pointport.InstanceID
+	pool     string
+	state    pointport.MachineState
+	zone     pointport.ZoneID
+	capacity pointport.Shape
+	life     pointport.IncarnationID
+	since    time.Time // when it was first seen in its pool
+	idle     time.Time // since when nothing runs there, zero while something does
+	load     schedule.InstanceLoad
+	order    *Order // under way
+	ordered  time.Time
+	answered bool
+	// closing is to which end the instance was closed, empty if it is open.
+	closing string
+}
+
+// A Planner decides. It is not safe for concurrent use.
+type Planner struct {
+	settings Settings
+	spare    string
+	machines map[pointport.InstanceID]*machine
+	waves    map[int64]*waveState
+	surveys  map[string]survey
+	surveyed map[string]bool
+	listed   time.Time // when the newest list was asked for
+}
+
+// A survey is how a pool stood at a time.
+type survey struct {
+	schedule.Survey
+	at time.Time
+}
+
+// NewPlanner returns a planner that knows nothing yet.
+func NewPlanner(s Settings) *Planner {
+	return &Planner{
+		settings: s, machines: make(map[pointport.InstanceID]*machine),
+		waves: make(map[int64]*waveState), surveys: make(map[string]survey), surveyed: make(map[string]bool),
+	}
+}
+
+// SetSpare names the spare pool, empty if there is none.
+func (p *Planner) SetSpare(pool string) { p.spare = pool }
+
+// SetMachines takes in the platform's list, which was asked for at asked.
+func (p *Planner) SetMachines(asked time.Time, list []pointport.Machine) {
+	p.listed = asked
+	seen := make(map[pointport.InstanceID]bool, len(list))
+	for _, l := range list {
+		seen[l.ID] = true
+		m := p.machines[l.ID]
+		if m == nil {
+			m = &machine{id: l.ID, pool: l.Pool, since: asked}
+			p.machines[l.ID] = m
+		}
+		if m.pool != l.Pool {
+			m.pool, m.since, m.idle = l.Pool, asked, time.Time{}
+			m.load = schedule.InstanceLoad{}
+		}
+		m.state, m.zone, m.capacity, m.life = l.State, l.Zone, l.Capacity, l.Incarnation
+		p.settleOrder(m, asked)
+	}
+	for id := range p.machines {
+		if !seen[id] {
+			delete(p.machines, id)
+		}
+	}
+}
+
+// settleOrder ends an order that a list shows to be done, or that was answered
+// before the list was asked for.
+func (p *Planner) settleOrder(m *machine, asked time.Time) {
+	if m.order == nil {
+		return
+	}
+	took := p.settings.MoveTime
+	if m.order.Wave != 0 {
+		took = p.settings.UpkeepTime
+	}
+	if m.answered && asked.Sub(m.ordered) > took && m.state == pointport.MachineUp {
+		m.order = nil
+	}
+}
+
+// SetSurvey takes in how a pool stands.
+func (p *Planner) SetSurvey(now time.Time, pool string, s schedule.Survey) {
+	p.surveys[pool], p.surveyed[pool] = survey{s, now}, true
+	loads := make(map[pointport.InstanceID]schedule.InstanceLoad, len(s.Instances))
+	for _, l := range s.Instances {
+		if old, ok := loads[l.Instance]; ok && old.Runs > l.Runs {
+			continue // an earlier life of the instance still has runs
+		}
+		loads[l.Instance] = l
+	}
+	for id, m := range p.machines {
+		if m.pool != pool {
+			continue
+		}
+		m.load = loads[id]
+		switch {
+		case m.load.Runs > 0 || m.load.Incarnation == "":
+			m.idle = time.Time{}
+		case m.idle.IsZero():
+			m.idle = now
+		}
+	}
+}
+
+// ForgetSurvey takes in that nobody says how a pool stands.
+func (p *Planner) ForgetSurvey(pool string) { p.surveyed[pool] = false }
+
+// SetWaves takes in the waves that are asked for.
+func (p *Planner) SetWaves(now time.Time, waves []Wave) {
+	for _, w := range waves {
+		s := p.waves[w.ID]
+		if s == nil {
+			s = &waveState{begun: now, ordered: make(map[pointport.InstanceID]time.Time)}
+			p.waves[w.ID] = s
+		}
+		s.wave = w
+	}
+}
+
+// Restore takes in what an earlier planner has recorded of a wave.
+func (p *Planner) Restore(wave int64, begun time.Time, ordered []pointport.InstanceID) {
+	s := p.waves[wave]
+	if s == nil {
+		return
+	}
+	s.begun = begun
+	for _, id := range ordered {
+		s.ordered[id] = begun
+	}
+}
+
+// A WaveProgress says how far a wave has come.
+type WaveProgress struct {
+	Wave    int64
+	Begun   time.Time
+	Ordered []pointport.InstanceID
+	// Completed says that every machine that still exists was maintained.
+	Completed bool
+}
+
+// Progress returns how far each wave has come, by number.
+func (p *Planner) Progress(now time.Time) []WaveProgress {
+	var out []WaveProgress
+	for id, w := range p.waves {
+		wp := WaveProgress{Wave: id, Begun: w.begun}
+		for m := range w.ordered {
+			wp.Ordered = append(wp.Ordered, m)
+		}
+		sort.Slice(wp.Ordered, func(i, k int) bool { return wp.Ordered[i] < wp.Ordered[k] })
+		wp.Completed = len(p.machines) > 0 && len(w.left(p.machines)) == 0 && w.away(now, p.settings.UpkeepTime, p.machines) == 0
+		out = append(out, wp)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Wave < out[k].Wave })
+	return out
+}
+
+// Busy reports whether orders are under way or waves open, so that the list of
+// machines should be read often.
+func (p *Planner) Busy() bool {
+	for _, m := range p.machines {
+		if m.order != nil || m.state == pointport.MachineMoving || m.state == pointport.MachineMaintenance {
+			return true
+		}
+	}
+	return false
+}
+
+// Over returns the incarnations of a pool's instances that the platform shows to
+// be over although the pool's owner still counts on them.
+func (p *Planner) Over(pool string) []pointport.IncarnationID {
+	var out []pointport.IncarnationID
+	s := p.surveys[pool]
+	for _, l := range s.Instances {
+		m := p.machines[l.Instance]
+		if m == nil || !l.Silent || l.Incarnation == "" {
+			continue
+		}
+		if s.at.Add(listLag - l.Known).After(p.listed) {
+			continue // the list may be older than the incarnation
+		}
+		if m.life != l.Incarnation && (m.life != "" || m.state != pointport.MachineUp) {
+			out = append(out, l.Incarnation)
+		}
+	}
+	return out
+}
+
+// Answered takes in the answer to an order; err is nil if it was carried out.
+func (p *Planner) Answered(now time.Time, o Order, err error, settled bool) {
+	m := p.machines[o.Machine]
+	if m == nil || m.order == nil || *m.order != o {
+		return
+	}
+	switch {
+	case err == nil:
+		m.answered, m.ordered = true, now
+		if w := p.waves[o.Wave]; w != nil {
+			w.ordered[o.Machine] = now
+		}
+		m.idle, m.load = time.Time{}, schedule.InstanceLoad{}
+	case settled:
+		m.order = nil
+	}
+}
+
+// Decide returns what to do at now.
+func (p *Planner) Decide(now time.Time) Decision {
+	d := Decision{Closures: make(map[string][]schedule.Closure)}
+	p.repeat(now, &d)
+	was := make(map[pointport.InstanceID]bool)
+	for id, m := range p.machines {
+		was[id] = m.closing != ""
+		m.closing = ""
+	}
+	ids := make([]int64, 0, len(p.waves))
+	for id := range p.waves {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	for _, id := range ids {
+		p.planWave(now, p.waves[id], &d)
+	}
+	p.planSizes(now, &d)
+	for id, m := range p.machines {
+		if m.closing != "" && !was[id] {
+			d.Fresh = true
+		}
+	}
+	return d
+}
+
+// repeat gives orders again that got no answer.
+func (p *Planner) repeat(now time.Time, d *Decision) {
+	for _, m := range p.machines {
+		if m.order != nil && !m.answered && now.Sub(m.ordered) > orderAgain {
+			m.ordered = now
+			d.Orders = append(d.Orders, *m.order)
+		}
+	}
+}
+
+// order gives an order about a machine.
+func (p *Planner) order(now time.Time, d *Decision, m *machine, o Order) {
+	m.order, m.ordered, m.answered = &o, now, false
+	d.Orders = append(d.Orders, o)
+}
+
+// shut has an instance closed.
+func (p *Planner) shut(d *Decision, m *machine, c schedule.Closure) {
+	m.closing = "closed"
+	d.Closures[m.pool] = append(d.Closures[m.pool], c)
+}
+
+// pressed reports whether tasks wait for room in a pool.
+func (p *Planner) pressed(pool string) bool { return p.surveys[pool].Waiting.CPUMilli > 0 }
+
+// A size is how many instances a pool has and should have.
+type size struct {
+	pool string
+	have int // in use or on their way
+	want int
+	// idle are the instances that may go: those that were closed for it first,
+	// then the longest idle.
+	idle []*machine
+}
+
+// planSizes moves instances between pools.
+func (p *Planner) planSizes(now time.Time, d *Decision) {
+	sizes := p.sizes(now)
+	spare := p.spares(now)
+	sort.SliceStable(sizes, func(i, k int) bool {
+		return sizes[i].want-sizes[i].have > sizes[k].want-sizes[k].have
+	})
+	for i := range sizes {
+		for sizes[i].have < sizes[i].want {
+			if !p.supply(now, d, &sizes[i], sizes, &spare) {
+				break
+			}
+			sizes[i].have++
+		}
+	}
+	for i := range sizes {
+		p.retire(now, d, &sizes[i])
+	}
+}
+
+// supply finds one more instance for a pool: one that another pool has had no
+// use for, a spare one, or one that another pool can do without.
+func (p *Planner) supply(now time.Time, d *Decision, to *size, sizes []size, spare *[]*machine) bool {
+	if from := lender(now, to, sizes, lendTime); from != nil {
+		return p.lend(now, d, from, to)
+	}
+	if len(*spare) > 0 {
+		m := (*spare)[0]
+		*spare = (*spare)[1:]
+		p.order(now, d, m, Order{Machine: m.id, Pool: to.pool, Reason: "needed"})
+		return true
+	}
+	if from := lender(now, to, sizes, 0); from != nil {
+		return p.lend(now, d, from, to)
+	}
+	return false
+}
+
+// lender returns the pool with the most instances too many, one of which has
+// been idle for some time.
+func lender(now time.Time, to *size, sizes []size, idleFor time.Duration) *size {
+	var best *size
+	for i := range sizes {
+		s := &sizes[i]
+		if s.pool == to.pool || s.have <= s.want || len(s.idle) == 0 || now.Sub(s.idle[0].idle) < idleFor {
+			continue
+		}
+		if best == nil || s.have-s.want > best.have-best.want {
+			best = s
+		}
+	}
+	return best
+}
+
+// lend closes an instance that is to go to another pool, and moves it once it is
+// closed.
+func (p *Planner) lend(now time.Time, d *Decision, from, to *size) bool {
+	m := from.idle[0]
+	from.idle = from.idle[1:]
+	from.have--
+	p.release(now, d, m, to.pool, "needed there more")
+	return true
+}
+
+func (p *Planner) release(now time.Time, d *Decision, m *machine, pool, reason string) {
+	if m.load.Closed && m.load.Runs == 0 {
+		p.order(now, d, m, Order{Machine: m.id, Pool: pool, Reason: reason})
+		return
+	}
+	p.shut(d, m, schedule.Closure{Instance: m.id})
+}
+
+// retire sends instances that have been idle for long to the spare pool.
+func (p *Planner) retire(now time.Time, d *Decision, s *size) {
+	if p.spare == "" {
+		return
+	}
+	for s.have > s.want && len(s.idle) > 0 && now.Sub(s.idle[0].idle) >= idleTime {
+		m := s.idle[0]
+		s.idle = s.idle[1:]
+		s.have--
+		p.release(now, d, m, p.spare, "not needed")
+	}
+}
+
+// spares returns the spare machines that may be moved.
+func (p *Planner) spares(now time.Time) []*machine {
+	var out []*machine
+	for _, m := range p.machines {
+		if p.spare != "" && m.pool == p.spare && m.state == pointport.MachineUp && m.order == nil {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
+	return out
+}
+
+// sizes works out how many instances the pools have and should have.
+func (p *Planner) sizes(now time.Time) []size {
+	var out []size
+	for pool := range p.surveys {
+		if p.surveyed[pool] && pool != p.spare {
+			out = append(out, p.sizeOf(now, pool))
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].pool < out[k].pool })
+	return out
+}
+
+func (p *Planner) sizeOf(now time.Time, pool string) size {
+	s := size{pool: pool}
+	var room pointport.Shape
+	inUse := 0
+	for _, m := range p.machines {
+		room = room.Plus(m.capacity)
+		switch {
+		case m.order != nil && m.order.Pool != "":
+			if m.order.Pool == pool {
+				s.have++
+			}
+		case m.pool != pool:
+		case m.order != nil || m.closing != "" || m.load.Silent && m.load.Incarnation != "" || m.load.Avoided || m.load.Leaving:
+		case m.state == pointport.MachineUp || m.state == pointport.MachineMoving:
+			s.have++
+			if m.load.Serving > 0 {
+				inUse++
+			}
+			if m.state == pointport.MachineUp && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
+				s.idle = append(s.idle, m)
+			}
+		}
+	}
+	n := max(1, len(p.machines))
+	need := p.surveys[pool].Need
+	s.want = max(inUse, leastInstances, instancesFor(need, room, n))
+	sort.Slice(s.idle, func(i, k int) bool {
+		a, b := s.idle[i], s.idle[k]
+		if a.load.Closed != b.load.Closed {
+			return a.load.Closed // it was chosen before
+		}
+		if !a.idle.Equal(b.idle) {
+			return a.idle.Before(b.idle)
+		}
+		return a.id < b.id
+	})
+	return s
+}
+
+// instancesFor returns how many instances have room for a need, where n of them
+// have room together.
+func instancesFor(need, room pointport.Shape, n int) int {
+	share := func(need, room int64) float64 {
+		if room == 0 {
+			return 0
+		}
+		return float64(need) * headroom * float64(n) / float64(room)
+	}
+	return int(math.Ceil(max(share(need.CPUMilli, room.CPUMilli), share(need.MemoryMiB, room.MemoryMiB))))
+}
--- /dev/null
+++ b/capacity/wave.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/schedule"
+)
+
+// This file defines waves of maintenance and which of their machines are next.
+
+// A Wave asks that each of some machines be maintained once, in time.
+type Wave struct {
+	ID       int64
+	Machines []pointport.InstanceID
+	// Bound is how many may be away for the wave at once.
+	Bound    int
+	Duration time.Duration
+}
+
+// A waveState is how far a wave has come.
+type waveState struct {
+	wave  Wave
+	begun time.Time // when this planner first saw it
+	// ordered holds the machines whose maintenance has begun, and when.
+	ordered map[pointport.InstanceID]time.Time
+}
+
+const (
+	// upkeepSlack is by how much a machine may take longer to come back than the
+	// platform says, before it counts as back for the bound of its wave.
+	upkeepSlack = 700 * time.Millisecond
+	// emptyTime is how long it takes, as a rule, to empty an instance.
+	emptyTime = 2500 * time.Millisecond
+	// pressShare is the part of a wave's time after which its machines are
+	// emptied whatever the load.
+	pressShare = 0.55
+	// forceShare is the part after which tasks that are not serving no longer
+	// hold a machine up.
+	forceShare = 0.8
+)
+
+// left returns the machines that are still to be maintained.
+func (w *waveState) left(exists map[pointport.InstanceID]*machine) []*machine {
+	var out []*machine
+	for _, id := range w.wave.Machines {
+		if _, ok := w.ordered[id]; ok {
+			continue
+		}
+		if m := exists[id]; m != nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// away returns how many machines are away for the wave.
+func (w *waveState) away(now time.Time, upkeep time.Duration, exists map[pointport.InstanceID]*machine) int {
+	n := 0
+	for id, at := range w.ordered {
+		m := exists[id]
+		back := now.Sub(at) > upkeep+upkeepSlack && (m == nil || m.state != pointport.MachineMaintenance)
+		if !back {
+			n++
+		}
+	}
+	for id, m := range exists {
+		if m.order != nil && m.order.Wave == w.wave.ID {
+			if _, counted := w.ordered[id]; !counted {
+				n++ // ordered, without an answer yet
+			}
+		}
+	}
+	return n
+}
+
+// planWave decides about one wave.
+func (p *Planner) planWave(now time.Time, w *waveState, d *Decision) {
+	left := w.left(p.machines)
+	if len(left) == 0 {
+		return
+	}
+	slots := w.wave.Bound - w.away(now, p.settings.UpkeepTime, p.machines)
+	spent := float64(now.Sub(w.begun)) / float64(w.wave.Duration)
+	rounds := (len(left) + w.wave.Bound - 1) / max(1, w.wave.Bound)
+	needed := time.Duration(rounds) * (p.settings.UpkeepTime + upkeepSlack + emptyTime)
+	press := spent > pressShare || now.Add(needed).After(w.begun.Add(w.wave.Duration))
+	force := spent > forceShare
+	sort.SliceStable(left, func(i, k int) bool { return left[i].bother() < left[k].bother() })
+	for _, m := range left {
+		if slots <= 0 {
+			return
+		}
+		if m.state != pointport.MachineUp || m.order != nil || m.load.Leaving {
+			continue
+		}
+		if p.maintainable(now, m, force) {
+			p.order(now, d, m, Order{Machine: m.id, Wave: w.wave.ID})
+			slots--
+			continue
+		}
+		if m.load.Serving == 0 && m.load.Runs > 0 && !press {
+			continue // busy for a moment; it will be empty by itself
+		}
+		if p.pressed(m.pool) && !press {
+			continue
+		}
+		p.shut(d, m, schedule.Closure{Instance: m.id, Evacuate: true})
+		slots--
+	}
+}
+
+// maintainable reports whether a machine can be maintained now.
+func (p *Planner) maintainable(now time.Time, m *machine, force bool) bool {
+	switch {
+	case m.pool == p.spare:
+		return true
+	case m.load.Incarnation == "":
+		// Nobody answers for what runs there: the pool's owner does not know it.
+		return p.surveyed[m.pool] && now.Sub(m.since) > settleTime
+	case m.load.Closed && m.load.Runs == 0:
+		return true
+	}
+	return force && m.load.Closed && m.load.Serving == 0
+}
+
+// bother says how much it takes to maintain a machine now.
+func (m *machine) bother() int {
+	const perServing = 100
+	return m.load.Runs + perServing*m.load.Serving
+}
--- a/cli/join.go
+++ b/cli/join.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
@@ -101,14 +102,22 @@
 		Registrations: node.Source[pointport.Incarnation]{
 			Prefix: platform.RegistrationPrefix, Decode: platform.DecodeRegistration,
 		},
+		Waves: node.WaveSource{
+			Source: node.Source[capacity.Wave]{Prefix: platform.WavePrefix, Decode: platform.DecodeWave},
+			Status: platform.WaveStatus,
+		},
 		Ingress: func(d *intake.Desk, catalog func() *workload.Catalog) http.Handler {
 			return platform.NewIngress(d, catalog)
 		},
 	}
+	if s.Machines != "" {
+		services.Machines = platform.NewMachines(s.Machines)
+	}
 	n, err := node.Start(ctx, services, node.Parameters{
 		Name: s.Name, Zone: s.Zone,
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
-		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace,
+		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace, HolderTime: s.HolderTime,
+		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime},
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -66,6 +66,14 @@
 	WaveStopped    = define(406, "wave stopped", slog.LevelWarn, "A wave stopped itself; reason says why.")
 )
 
+// Events of machines.
+var (
+	MachineOrdered = define(421, "machine ordered", slog.LevelInfo, "The platform was asked to move an instance to a pool, or to maintain it for a wave; error says whether it refused or gave no answer.")
+	MachinesCut    = define(422, "machine list cut off", slog.LevelWarn, "The platform's list of machines cannot be read; the last one stays in use.")
+	WaveReported   = define(423, "wave reported", slog.LevelInfo, "How far a wave has come was stored.")
+	WaveUnreadable = define(424, "wave unreadable", slog.LevelError, "A wave that an operator asks for cannot be read; it is passed over.")
+)
+
 // Events of jobs.
 var (
 	JobPlaced       = define(501, "job placed", slog.LevelInfo, "A job was given to an instance.")
@@ -88,5 +96,6 @@
 	JobRefused      = define(519, "job refused", slog.LevelWarn, "A job was not accepted; reason says why, and whether it is sure not to run.")
 	JobCancelled    = define(520, "job cancelled", slog.LevelInfo, "A customer's cancellation of a job is stored.")
 	PeerSilent      = define(521, "peer silent", slog.LevelWarn, "Another entry instance gave no answer to a message about a job; it will learn of it from the store.")
+	ServingMoved    = define(522, "serving task moved", slog.LevelInfo, "A serving task is stopped because its instance is being emptied; it starts elsewhere at once.")
 	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/executor.go
+++ b/executor.go
@@ -81,7 +81,7 @@
 type RunningTask struct {
 	TaskRun
 	Checkpoint string
-	Percent    int // the share of its work that it may do
+	Progress   int // how much of its work is done, in percent
 	// Load is a rough figure of the last half second: for a task that serves,
 	// the tail of its response times in milliseconds; for any other, the
 	// processor time in use, in thousandths of a core.
--- a/shard/keeper.go
+++ b/member/keeper.go
@@ -1,4 +1,4 @@
-package shard
+package member
 
 import (
 	"context"
@@ -9,11 +9,10 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
-	"github.com/pointport/pointport/member"
 )
 
 // This file defines the keeper: it takes the pools that have no owner and runs
-// an Owner for each pool that is this member's.
+// a tenant for each pool that is this member's.
 
 const (
 	// rankPause is for how long a member leaves a pool without an owner to each
@@ -23,28 +22,41 @@
 	keeperTick = 500 * time.Millisecond
 )
 
-// A Keeper runs the owners of the pools that this member owns. It is safe for
+// A Tenant does the work of a pool's owner until it is stopped or finds that it
+// owns the pool no more.
+type Tenant interface {
+	// Ownership returns what the tenant owns.
+	Ownership() Ownership
+	// Stop ends the tenant.
+	Stop()
+	// Done returns a channel that is closed when the tenant has ended.
+	Done() <-chan struct{}
+	// Err returns why the tenant has ended.
+	Err() error
+}
+
+// A Keeper runs the tenants of the pools that this member owns. It is safe for
 // concurrent use.
-type Keeper struct {
+type Keeper[T Tenant] struct {
 	clock   pointport.Clock
-	session *member.Session
-	roster  *member.Roster
+	session *Session
+	roster  *Roster
 	pools   func() []string
-	start   func(member.Ownership) *Owner
+	start   func(Ownership) T
 	logger  *slog.Logger
 
 	mu      sync.Mutex
-	owners  map[string]*Owner
+	tenants map[string]T
 	orphans map[string]time.Time // since when a pool has had no owner
 	stopped bool
 }
 
 // StartKeeper returns a keeper that works until ctx ends. pools tells which
-// pools there are, and start starts the owner of one.
-func StartKeeper(ctx context.Context, clock pointport.Clock, session *member.Session, roster *member.Roster, pools func() []string, start func(member.Ownership) *Owner, logger *slog.Logger) *Keeper {
-	k := &Keeper{
+// pools there are, and start starts the tenant of one.
+func StartKeeper[T Tenant](ctx context.Context, clock pointport.Clock, session *Session, roster *Roster, pools func() []string, start func(Ownership) T, logger *slog.Logger) *Keeper[T] {
+	k := &Keeper[T]{
 		clock: clock, session: session, roster: roster, pools: pools, start: start, logger: logger,
-		owners: make(map[string]*Owner), orphans: make(map[string]time.Time),
+		tenants: make(map[string]T), orphans: make(map[string]time.Time),
 	}
 	go func() {
 		for ctx.Err() == nil {
@@ -60,16 +72,17 @@
 	return k
 }
 
-// Owner returns the owner of a pool, if it is this member, or nil.
-func (k *Keeper) Owner(pool string) *Owner {
+// Tenant returns the tenant of a pool; false if this member has none.
+func (k *Keeper[T]) Tenant(pool string) (T, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.owners[pool]
+	t, ok := k.tenants[pool]
+	return t, ok
 }
 
-// round ends owners that own nothing any more and takes what is free. It
+// round ends tenants that own nothing any more and takes what is free. It
 // returns when to look again.
-func (k *Keeper) round(ctx context.Context) time.Duration {
+func (k *Keeper[T]) round(ctx context.Context) time.Duration {
 	k.reap()
 	next := keeperTick
 	if !k.roster.Known() || !k.session.Proven() {
@@ -82,33 +95,33 @@
 	return max(next, time.Millisecond)
 }
 
-// reap forgets the owners that have ended.
-func (k *Keeper) reap() {
+// reap forgets the tenants that have ended.
+func (k *Keeper[T]) reap() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for pool, o := range k.owners {
+	for pool, t := range k.tenants {
 		select {
-		case <-o.Done():
-			event.PoolLost.Log(k.logger, slog.String("pool", pool), slog.Any("reason", o.Err()))
-			delete(k.owners, pool)
+		case <-t.Done():
+			event.PoolLost.Log(k.logger, slog.String("pool", pool), slog.Any("reason", t.Err()))
+			delete(k.tenants, pool)
 		default:
 		}
 	}
 }
 
 // tend looks after one pool, and returns when to look again.
-func (k *Keeper) tend(ctx context.Context, pool string, now time.Time) time.Duration {
-	mine := k.Owner(pool)
+func (k *Keeper[T]) tend(ctx context.Context, pool string, now time.Time) time.Duration {
+	mine, mineToo := k.Tenant(pool)
 	holder, held := k.roster.Holding(pool)
 	switch {
-	case held && mine != nil && holder.Fence != mine.Ownership().Fence && holder.Fence > mine.Ownership().Fence:
+	case held && mineToo && holder.Fence > mine.Ownership().Fence:
 		mine.Stop()
 		return time.Millisecond
-	case held && mine == nil && holder.Mine:
+	case held && !mineToo && holder.Mine:
 		// Taken by a change whose answer was lost.
-		k.begin(member.Ownership{Pool: pool, Fence: holder.Fence, Revision: holder.Revision})
+		k.begin(Ownership{Pool: pool, Fence: holder.Fence, Revision: holder.Revision})
 		return keeperTick
-	case held || mine != nil:
+	case held || mineToo:
 		delete(k.orphans, pool)
 		return keeperTick
 	}
@@ -123,7 +136,7 @@
 	return k.take(ctx, pool)
 }
 
-func (k *Keeper) take(ctx context.Context, pool string) time.Duration {
+func (k *Keeper[T]) take(ctx context.Context, pool string) time.Duration {
 	own, err := k.roster.Take(ctx, pool)
 	if err != nil {
 		var conflict *pointport.TxnConflictError
@@ -136,23 +149,23 @@
 	return keeperTick
 }
 
-func (k *Keeper) begin(own member.Ownership) {
+func (k *Keeper[T]) begin(own Ownership) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.stopped || k.owners[own.Pool] != nil {
+	if _, ok := k.tenants[own.Pool]; ok || k.stopped {
 		return
 	}
 	event.PoolTaken.Log(k.logger, slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence)))
 	delete(k.orphans, own.Pool)
-	k.owners[own.Pool] = k.start(own)
+	k.tenants[own.Pool] = k.start(own)
 }
 
-// Stop ends all owners and takes no pool any more.
-func (k *Keeper) Stop() {
+// Stop ends all tenants and takes no pool any more.
+func (k *Keeper[T]) Stop() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stopped = true
-	for _, o := range k.owners {
-		o.Stop()
+	for _, t := range k.tenants {
+		t.Stop()
 	}
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -10,6 +10,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/steward"
 	"github.com/pointport/pointport/workload"
 )
 
@@ -76,6 +77,21 @@
 	return nil
 }
 
+// layout returns which pools there are.
+func (c *configs) layout() steward.Layout {
+	k := c.Catalog()
+	if k == nil {
+		return steward.Layout{}
+	}
+	l := steward.Layout{Work: k.WorkPools()}
+	for _, p := range k.Pools {
+		if p.Spare {
+			l.Spare = p.Name
+		}
+	}
+	return l
+}
+
 // A fleet keeps the registrations of instances, while anybody asks for them.
 type fleet struct {
 	source Source[pointport.Incarnation]
--- a/node/node.go
+++ b/node/node.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/peer"
 	"github.com/pointport/pointport/shard"
+	"github.com/pointport/pointport/steward"
 	"github.com/pointport/pointport/workload"
 )
 
@@ -48,6 +50,9 @@
 	Clock         pointport.Clock
 	Config        Source[*workload.Catalog]
 	Registrations Source[pointport.Incarnation]
+	// Machines moves and maintains instances; nil if nobody does.
+	Machines pointport.Machines
+	Waves    WaveSource
 	// Ingress makes the handler of clients' calls.
 	Ingress func(*intake.Desk, func() *workload.Catalog) http.Handler
 	// Metrics serves the node's figures; nil for none.
@@ -65,6 +70,9 @@
 	TaskLease time.Duration
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
+	// HolderTime must lie between the orders of two holders of an instance.
+	HolderTime time.Duration
+	Capacity   capacity.Settings
 }
 
 // A Node is a running entry instance.
@@ -77,7 +85,8 @@
 	roster   *member.Roster
 	configs  *configs
 	fleet    *fleet
-	keeper   *shard.Keeper
+	keeper   *member.Keeper[*shard.Owner]
+	stewards *member.Keeper[*steward.Steward]
 	desk     *intake.Desk
 	servers  []*http.Server
 	clients  *http.Server
@@ -93,9 +102,12 @@
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, logger)
 	n.fleet = newFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
-	n.keeper = shard.StartKeeper(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
+	n.keeper = member.StartKeeper(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns, IdleConnTimeout: idleTimeout}}
 	owners := peer.NewOwners(n.keeper, n.roster, client, logger)
+	if s.Machines != nil {
+		n.startSteward(ctx, owners)
+	}
 	n.desk = intake.NewDesk(s.KV, owners, s.Clock, n.session.Proven, logger)
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -104,6 +116,20 @@
 	return n, nil
 }
 
+// startSteward lets the node be the one that moves and maintains instances.
+func (n *Node) startSteward(ctx context.Context, pools steward.Pools) {
+	s := n.services
+	services := steward.Services{
+		KV: s.KV, Machines: s.Machines, Clock: s.Clock, Session: n.session, Pools: pools,
+		Waves: newWaves(ctx, s.KV, s.Clock, s.Waves, n.logger), Layout: n.configs.layout,
+	}
+	settings := steward.Settings{Name: n.params.Name, HolderTime: n.params.HolderTime, Planner: n.params.Capacity}
+	posts := func() []string { return []string{steward.Post} }
+	n.stewards = member.StartKeeper(ctx, s.Clock, n.session, n.roster, posts, func(own member.Ownership) *steward.Steward {
+		return steward.Start(ctx, services, settings, own, n.logger)
+	}, n.logger)
+}
+
 func (n *Node) startOwner(ctx context.Context) func(member.Ownership) *shard.Owner {
 	return func(own member.Ownership) *shard.Owner {
 		return shard.Start(ctx, n.services.KV, n.services.Executor, n.services.Clock, n.session, n.fleet, own,
@@ -170,6 +196,9 @@
 	event.Stopping.Log(n.logger)
 	ctx, cancel := context.WithTimeout(context.Background(), n.params.Grace-stopReserve)
 	defer cancel()
+	if n.stewards != nil {
+		n.stewards.Stop()
+	}
 	n.keeper.Stop()
 	if err := n.session.End(ctx); err != nil {
 		event.Failed.Log(n.logger, slog.String("part", "lease"), slog.Any("error", err))
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/schedule"
 	"github.com/pointport/pointport/shard"
 	"github.com/pointport/pointport/workload"
 )
@@ -40,6 +41,7 @@
 	cancelPath    = "/peer/cancel"
 	statusPath    = "/peer/status"
 	waitingPath   = "/peer/waiting"
+	surveyPath    = "/peer/survey"
 )
 
 // A question names what it is about. Its fields are exported because a codec
@@ -49,6 +51,8 @@
 	Job      string          `json:"job,omitempty"`
 	Queue    string          `json:"queue,omitempty"`
 	Accepted json.RawMessage `json:"accepted,omitempty"`
+	// Survey goes with a question on how a pool stands.
+	Survey *schedule.SurveyRequest `json:"survey,omitempty"`
 }
 
 // A reply is what the owner says.
@@ -56,6 +60,7 @@
 	Known  bool            `json:"known,omitempty"`
 	Status workload.Status `json:"status,omitempty"`
 	Count  int             `json:"count,omitempty"`
+	Survey schedule.Survey `json:"survey,omitzero"`
 }
 
 // ErrNoOwner says that no owner of a pool is known.
@@ -63,7 +68,7 @@
 
 // Owners reaches the owners of pools. It is safe for concurrent use.
 type Owners struct {
-	keeper  *shard.Keeper
+	keeper  *member.Keeper[*shard.Owner]
 	roster  *member.Roster
 	http    *http.Client
 	timeout time.Duration
@@ -74,7 +79,7 @@
 
 // NewOwners returns a way to the owners: those that keeper runs, and others as
 // the roster names them.
-func NewOwners(keeper *shard.Keeper, roster *member.Roster, client *http.Client, logger *slog.Logger) *Owners {
+func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, logger *slog.Logger) *Owners {
 	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, logger: logger}
 }
 
@@ -108,7 +113,7 @@
 
 // Submitted tells a pool's owner of an accepted job.
 func (o *Owners) Submitted(pool, id string, accepted []byte) {
-	if local := o.keeper.Owner(pool); local != nil {
+	if local, ok := o.keeper.Tenant(pool); ok {
 		local.Submitted(id, accepted)
 		return
 	}
@@ -122,7 +127,7 @@
 
 // Cancel has a pool's owner cancel a job.
 func (o *Owners) Cancel(ctx context.Context, pool, id string) (bool, error) {
-	if local := o.keeper.Owner(pool); local != nil {
+	if local, ok := o.keeper.Tenant(pool); ok {
 		return local.Cancel(ctx, id)
 	}
 	r, err := o.ask(ctx, cancelPath, question{Pool: pool, Job: id})
@@ -131,7 +136,7 @@
 
 // Status asks a pool's owner for a job.
 func (o *Owners) Status(ctx context.Context, pool, id string) (workload.Status, bool, error) {
-	if local := o.keeper.Owner(pool); local != nil {
+	if local, ok := o.keeper.Tenant(pool); ok {
 		return local.Status(ctx, id)
 	}
 	r, err := o.ask(ctx, statusPath, question{Pool: pool, Job: id})
@@ -140,15 +145,24 @@
 
 // Waiting asks a pool's owner how many jobs of a queue have not begun.
 func (o *Owners) Waiting(ctx context.Context, pool, queue string) (int, error) {
-	if local := o.keeper.Owner(pool); local != nil {
+	if local, ok := o.keeper.Tenant(pool); ok {
 		return local.Waiting(ctx, queue)
 	}
 	r, err := o.ask(ctx, waitingPath, question{Pool: pool, Queue: queue})
 	return r.Count, err
 }
 
+// Survey asks a pool's owner how the pool stands.
+func (o *Owners) Survey(ctx context.Context, pool string, req schedule.SurveyRequest) (schedule.Survey, error) {
+	if local, ok := o.keeper.Tenant(pool); ok {
+		return local.Survey(ctx, req)
+	}
+	r, err := o.ask(ctx, surveyPath, question{Pool: pool, Survey: &req})
+	return r.Survey, err
+}
+
 // Handler returns the other end: it answers for the owners that keeper runs.
-func Handler(keeper *shard.Keeper, logger *slog.Logger) http.Handler {
+func Handler(keeper *member.Keeper[*shard.Owner], logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(path string, answer func(context.Context, *shard.Owner, question) (reply, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
@@ -157,8 +171,8 @@
 				http.Error(w, err.Error(), http.StatusBadRequest)
 				return
 			}
-			owner := keeper.Owner(q.Pool)
-			if owner == nil {
+			owner, ok := keeper.Tenant(q.Pool)
+			if !ok {
 				http.Error(w, ErrNoOwner.Error(), http.StatusServiceUnavailable)
 				return
 			}
@@ -188,5 +202,12 @@
 		n, err := o.Waiting(ctx, q.Queue)
 		return reply{Count: n}, err
 	})
+	handle(surveyPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
+		if q.Survey == nil {
+			return reply{}, errors.New("survey: missing")
+		}
+		s, err := o.Survey(ctx, *q.Survey)
+		return reply{Survey: s}, err
+	})
 	return mux
 }
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -53,9 +53,10 @@
 	workers map[pointport.IncarnationID]*Worker
 	over    map[string]finished
 
-	learned *estimates
-	dirty   map[*entry]struct{}
-	decided []*Run // to be stored, then sent
+	learned  *estimates
+	arrivals arrivals
+	dirty    map[*entry]struct{}
+	decided  []*Run // to be stored, then sent
 	// sends are orders that need nothing stored: stops and repeated starts.
 	sends []Order
 	// urgent says that something waits for the next batch to be stored.
@@ -93,6 +94,9 @@
 	}
 	e := &entry{job: j, runs: make(map[workload.TaskRef]*Run)}
 	b.jobs[j.ID()] = e
+	if !j.Begun() && j.Spec().Recur.Times == 0 {
+		b.arrivals.add(now, j.Spec(), b.learned)
+	}
 	b.inherit(now, e)
 	if j.Stopping() {
 		b.stopAll(now, e, "its job is over")
@@ -110,7 +114,7 @@
 					continue
 				}
 				ref := workload.TaskRef{K: o.K, Step: n, Index: i}
-				w := b.worker(step[i].On)
+				w := b.worker(now, step[i].On)
 				b.newRun(now, e, ref, w, step[i].Run, runInherited)
 			}
 		}
@@ -120,21 +124,19 @@
 func (b *Book) newRun(now time.Time, e *entry, ref workload.TaskRef, w *Worker, number int, s runState) *Run {
 	r := &Run{
 		entry: e, ref: ref, name: workload.TaskName(e.job.ID(), ref), number: number,
-		worker: w, state: s, placedAt: now, percent: fullPace,
+		worker: w, state: s, placedAt: now,
 	}
 	e.runs[ref] = r
 	w.take(r)
 	return r
 }
 
-// fullPace is the percentage at which a task does all its work.
-const fullPace = 100
-
 // worker returns what is known of an incarnation, which may be nothing.
-func (b *Book) worker(id pointport.IncarnationID) *Worker {
+func (b *Book) worker(now time.Time, id pointport.IncarnationID) *Worker {
 	w := b.workers[id]
 	if w == nil {
 		w = &Worker{
+			since:   now,
 			inc:     pointport.NewIncarnation(id, "", ""),
 			runs:    make(map[string]*Run),
 			expires: b.taken.Add(b.settings.PredecessorBound),
@@ -262,7 +264,7 @@
 }
 
 func (b *Book) register(now time.Time, inc pointport.Incarnation) {
-	w := b.worker(inc.ID())
+	w := b.worker(now, inc.ID())
 	if w.inc.Address() == "" {
 		w.free = w.free.Plus(inc.Capacity())
 		b.looks[w] = struct{}{}
@@ -318,7 +320,7 @@
 			continue
 		}
 		b.live(r, now)
-		r.percent, r.load = row.Percent, row.Load
+		r.progress, r.load = row.Progress, row.Load
 		if t := r.task(); t != nil && row.Checkpoint != "" {
 			t.Checkpoint = row.Checkpoint
 		}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -24,6 +24,7 @@
 	b.sweep(now)
 	b.repeatStops(now)
 	b.begin(now)
+	b.relocate(now)
 	tasks := b.waiting(now)
 	if len(tasks) == 0 {
 		return
@@ -171,14 +172,21 @@
 	// dataRackScore is what being near the data is worth, in shares of a free
 	// instance: elsewhere a task takes twice or three times as long.
 	dataRackScore = 2.0
+	// servingScore is what it is worth that an instance has serving tasks, which
+	// keep it in the pool anyway.
+	servingScore = 0.5
 )
 
-// score says how well a worker suits a task; more is better.
+// score says how well a worker suits a task; more is better. Work is packed, so
+// that instances fall empty and can go where they are needed more.
 func (b *Book) score(t waiting, w *Worker) float64 {
-	score := freeShare(w.free, w.inc.Capacity())
+	score := -freeShare(w.free, w.inc.Capacity())
 	if t.step.DataRack != "" && w.inc.Rack() == t.step.DataRack {
 		score += dataRackScore
 	}
+	if w.serving > 0 {
+		score += servingScore
+	}
 	return score
 }
 
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -46,8 +46,10 @@
 	stopping   bool
 	stopAt     time.Time
 	stopReason string
-	percent    int
-	load       int
+	// progress is how much of its work the run has done, in percent; a serving
+	// task is at work at 100.
+	progress int
+	load     int
 	// ticket is the permission to use the worker.
 	ticket string
 }
--- /dev/null
+++ b/schedule/survey.go
@@ -0,0 +1,190 @@
+package schedule
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/event"
+)
+
+// This file defines what the owner of a pool tells whoever moves and maintains
+// instances, and how it empties an instance for that.
+
+// A Closure asks that nothing new be placed on an instance. Its fields are
+// exported because a codec reads and writes them.
+type Closure struct {
+	Instance pointport.InstanceID `json:"instance"`
+	// Evacuate asks that serving tasks be moved off, as their steps allow.
+	Evacuate bool `json:"evacuate,omitempty"`
+}
+
+// A SurveyRequest is what whoever moves instances tells the owner of a pool.
+type SurveyRequest struct {
+	// Closures lists the instances that are to be closed; all others are open.
+	Closures []Closure `json:"closures,omitempty"`
+	// Over lists incarnations that are known to be over.
+	Over []pointport.IncarnationID `json:"over,omitempty"`
+}
+
+// A Survey says how a pool stands. Its fields are exported because a codec reads
+// and writes them.
+type Survey struct {
+	// Need is the room that the pool's tasks take now, or will in a moment by the
+	// rate at which work arrives.
+	Need pointport.Shape `json:"need"`
+	// Waiting is the room that tasks want whose turn has come.
+	Waiting pointport.Shape `json:"waiting"`
+	// Widest is the largest room of a single waiting task.
+	Widest    pointport.Shape `json:"widest"`
+	Instances []InstanceLoad  `json:"instances"`
+}
+
+// An InstanceLoad says how an instance stands.
+type InstanceLoad struct {
+	Instance    pointport.InstanceID    `json:"instance"`
+	Incarnation pointport.IncarnationID `json:"incarnation"`
+	Runs        int                     `json:"runs,omitempty"`
+	Serving     int                     `json:"serving,omitempty"`
+	Closed      bool                    `json:"closed,omitempty"`
+	// Silent says that the instance gives no answer.
+	Silent bool `json:"silent,omitempty"`
+	// Known is for how long the owner has known the incarnation, in nanoseconds.
+	Known time.Duration `json:"known"`
+	// Avoided says that the instance fails what it is given.
+	Avoided bool `json:"avoided,omitempty"`
+	// Leaving says that the instance is about to end.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// closureTime is how long a closure holds unless it is asked for again.
+const closureTime = 2 * time.Second
+
+// Survey takes in a request and returns how the pool stands.
+func (b *Book) Survey(now time.Time, req SurveyRequest) Survey {
+	for _, id := range req.Over {
+		b.EndIncarnation(now, id)
+	}
+	b.close(now, req.Closures)
+	s := Survey{Need: b.need(now)}
+	for _, t := range b.waiting(now) {
+		room := t.step.Room()
+		s.Waiting = s.Waiting.Plus(room)
+		s.Widest = largest(s.Widest, room)
+	}
+	for _, w := range b.workers {
+		if w.ended || w.inc.Instance() == "" || !w.listed && len(w.runs) == 0 {
+			continue
+		}
+		s.Instances = append(s.Instances, b.loadOf(now, w))
+	}
+	sort.Slice(s.Instances, func(i, k int) bool { return s.Instances[i].Instance < s.Instances[k].Instance })
+	return s
+}
+
+func largest(a, b pointport.Shape) pointport.Shape {
+	return pointport.Shape{
+		CPUMilli: max(a.CPUMilli, b.CPUMilli), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+func (b *Book) loadOf(now time.Time, w *Worker) InstanceLoad {
+	return InstanceLoad{
+		Instance: w.inc.Instance(), Incarnation: w.inc.ID(), Runs: len(w.runs), Serving: w.serving,
+		Closed: w.closed(now), Silent: w.silent || w.heard.IsZero(), Avoided: w.health.avoided(now),
+		Leaving: w.inc.Draining(), Known: now.Sub(w.since),
+	}
+}
+
+// close sets which instances are closed.
+func (b *Book) close(now time.Time, closures []Closure) {
+	asked := make(map[pointport.InstanceID]Closure, len(closures))
+	for _, c := range closures {
+		asked[c.Instance] = c
+	}
+	for _, w := range b.workers {
+		c, ok := asked[w.inc.Instance()]
+		if !ok || w.inc.Instance() == "" {
+			w.closedUntil, w.evacuating = time.Time{}, false
+			continue
+		}
+		w.closedUntil, w.evacuating = now.Add(closureTime), c.Evacuate
+	}
+}
+
+// closed reports whether nothing new may be placed on the worker.
+func (w *Worker) closed(now time.Time) bool { return now.Before(w.closedUntil) }
+
+// need returns the room that the pool's tasks take or want, or what the rate of
+// arrivals will come to if that is more.
+func (b *Book) need(now time.Time) pointport.Shape {
+	var sum pointport.Shape
+	for _, w := range b.workers {
+		for _, r := range w.runs {
+			sum = sum.Plus(r.step().Room())
+		}
+	}
+	for _, t := range b.waiting(now) {
+		sum = sum.Plus(t.step.Room())
+	}
+	coming := b.arrivals.steady(now)
+	coming = coming.Plus(b.servingRoom())
+	return largest(sum, coming)
+}
+
+// servingRoom returns the room that serving tasks take.
+func (b *Book) servingRoom() pointport.Shape {
+	var sum pointport.Shape
+	for _, w := range b.workers {
+		for _, r := range w.runs {
+			if r.step().Service {
+				sum = sum.Plus(r.step().Room())
+			}
+		}
+	}
+	return sum
+}
+
+// atWork is the progress at which a serving task serves, in percent.
+const atWork = 100
+
+// relocate stops serving tasks on workers that are being emptied, as far as
+// their steps allow; they are placed elsewhere at once.
+func (b *Book) relocate(now time.Time) {
+	for _, w := range b.workers {
+		if !w.evacuating || !w.closed(now) || w.ended {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.step().Service && !r.stopping && r.state == runLive && b.mayMiss(r) {
+				event.ServingMoved.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
+					slog.String("incarnation", string(w.inc.ID())))
+				b.stop(now, r, "its instance is being emptied")
+			}
+		}
+	}
+}
+
+// mayMiss reports whether a serving task may be taken away for a moment: fewer
+// of its step's other tasks than may be missing are not at work.
+func (b *Book) mayMiss(r *Run) bool {
+	o := r.entry.job.Occurrence(r.ref.K)
+	if o == nil {
+		return true
+	}
+	away := 0
+	for i := range o.Steps[r.ref.Step] {
+		ref := r.ref
+		ref.Index = i
+		if i == r.ref.Index {
+			continue
+		}
+		other := r.entry.runs[ref]
+		if other == nil || other.state != runLive || other.stopping || other.progress < atWork || other.worker.silent {
+			away++
+		}
+	}
+	return away < max(1, r.step().MayMiss)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -23,9 +23,13 @@
 
 // A Worker is one incarnation of an instance, as the owner of its pool sees it.
 type Worker struct {
-	inc  pointport.Incarnation
-	runs map[string]*Run // by task name
-	free pointport.Shape // what is left of the capacity
+	inc pointport.Incarnation
+	// since is when the owner first heard of the incarnation.
+	since time.Time
+	runs  map[string]*Run // by task name
+	free  pointport.Shape // what is left of the capacity
+	// serving counts the runs that are serving tasks.
+	serving int
 
 	// heard is when the last answer came, zero before the first.
 	heard time.Time
@@ -49,7 +53,11 @@
 	// fullUntil is until when nothing is placed there, because the instance
 	// refused a start.
 	fullUntil time.Time
-	health    health
+	// closedUntil is until when nothing is placed there because the instance is
+	// to be moved or maintained; evacuating says that serving tasks move off.
+	closedUntil time.Time
+	evacuating  bool
+	health      health
 }
 
 // Endpoint returns where the worker takes orders.
@@ -106,12 +114,15 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *Worker) usable(now time.Time) bool {
 	return w.listed && !w.ended && !w.silent && !w.heard.IsZero() &&
-		!w.inc.Draining() && !now.Before(w.fullUntil) && !w.health.avoided(now)
+		!w.inc.Draining() && !now.Before(w.fullUntil) && !w.closed(now) && !w.health.avoided(now)
 }
 
 // take adds a run and takes its room.
 func (w *Worker) take(r *Run) {
 	w.runs[r.name] = r
+	if r.step().Service {
+		w.serving++
+	}
 	w.free = w.free.Minus(r.step().Room())
 }
 
@@ -121,6 +132,9 @@
 		return
 	}
 	delete(w.runs, r.name)
+	if r.step().Service {
+		w.serving--
+	}
 	w.free = w.free.Plus(r.step().Room())
 }
 
--- a/shard/load.go
+++ b/shard/load.go
@@ -160,6 +160,12 @@
 	return ask(ctx, o, func() int { return o.book.Waiting(queue) })
 }
 
+// Survey takes in a request of whoever moves and maintains instances, and returns
+// how the pool stands.
+func (o *Owner) Survey(ctx context.Context, req schedule.SurveyRequest) (schedule.Survey, error) {
+	return ask(ctx, o, func() schedule.Survey { return o.book.Survey(o.clock.Now(), req) })
+}
+
 // ask has the loop answer a question.
 func ask[T any](ctx context.Context, o *Owner, question func() T) (T, error) {
 	answer := make(chan T, 1)
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,331 @@
+// Package steward carries out what package capacity decides: it asks the owners
+// of pools how their pools stand, reads the platform's list of machines, and
+// orders moves and maintenance.
+//
+// The model: one member at a time is the steward. It owns a key like that of a
+// pool, and its fence goes with every order. It surveys all pools a few times a
+// second; an instance is moved or maintained only after its pool's owner has
+// closed it and says that nothing runs there.
+//
+// Invariants:
+//
+//   - A new steward gives no order until an order of its predecessor is so old
+//     that the two do not count as taking turns.
+//   - No order is given while this member cannot prove its lease.
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/capacity"
+	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/schedule"
+)
+
+// This file defines the steward and its rounds.
+
+const (
+	// Post is the name under which the steward's ownership is kept. It is no
+	// pool's name, because those have no slash.
+	Post = "/steward"
+	// roundEvery is how often the steward looks, freshEvery how soon after it has
+	// closed an instance.
+	roundEvery = 250 * time.Millisecond
+	freshEvery = 20 * time.Millisecond
+	// listBusy and listIdle are how often the list of machines is read while
+	// orders are under way and while none are.
+	listBusy = 450 * time.Millisecond
+	listIdle = 2 * time.Second
+	// surveyTimeout bounds a question to the owner of a pool.
+	surveyTimeout = 400 * time.Millisecond
+	// turnSlack is kept beyond the time that must lie between two holders.
+	turnSlack = 300 * time.Millisecond
+	// inboxSize is how many answers may wait for the loop.
+	inboxSize = 128
+)
+
+// Pools reaches the owners of pools.
+type Pools interface {
+	Survey(ctx context.Context, pool string, req schedule.SurveyRequest) (schedule.Survey, error)
+}
+
+// A Layout says which pools there are.
+type Layout struct {
+	Work  []string // the pools that run tasks
+	Spare string   // the pool whose instances are switched off, or empty
+}
+
+// Waves follows the waves that operators ask for and reports on them.
+type Waves interface {
+	// Waves returns the waves that are asked for.
+	Waves() []capacity.Wave
+	// Status returns the key and the value that report on a wave.
+	Status(wave int64, completed bool) pointport.Put
+}
+
+// Services are what a steward stands on.
+type Services struct {
+	KV       pointport.KV
+	Machines pointport.Machines
+	Clock    pointport.Clock
+	Session  *member.Session
+	Pools    Pools
+	Waves    Waves
+	Layout   func() Layout
+}
+
+// Settings are a steward's name and times.
+type Settings struct {
+	Name string
+	// HolderTime must lie between the orders of two holders.
+	HolderTime time.Duration
+	Planner    capacity.Settings
+}
+
+// A Steward is the one member that orders machines about. Its methods are safe
+// for concurrent use.
+type Steward struct {
+	services Services
+	settings Settings
+	own      member.Ownership
+	logger   *slog.Logger
+	cancel   context.CancelFunc
+	done     chan struct{}
+	err      error
+
+	// What follows belongs to the loop.
+	planner  *capacity.Planner
+	inbox    chan func(now time.Time)
+	closures map[string][]schedule.Closure
+	listed   time.Time
+	listing  bool
+	opens    time.Time // when orders may be given
+	stored   map[int64]string
+	restored map[int64]bool
+}
+
+var _ member.Tenant = (*Steward)(nil)
+
+// Start returns a steward that works until ctx ends or another member is the
+// steward.
+func Start(ctx context.Context, s Services, settings Settings, own member.Ownership, logger *slog.Logger) *Steward {
+	ctx, cancel := context.WithCancel(ctx)
+	st := &Steward{
+		services: s, settings: settings, own: own, cancel: cancel, done: make(chan struct{}),
+		logger:  logger.With(slog.Int64("fence", int64(own.Fence))),
+		planner: capacity.NewPlanner(settings.Planner), inbox: make(chan func(time.Time), inboxSize),
+		opens:  s.Clock.Now().Add(s.Session.TTL() + settings.HolderTime + turnSlack),
+		stored: make(map[int64]string), restored: make(map[int64]bool),
+	}
+	go func() {
+		defer close(st.done)
+		st.run(ctx)
+		cancel()
+	}()
+	return st
+}
+
+// Ownership returns what the steward owns.
+func (s *Steward) Ownership() member.Ownership { return s.own }
+
+// Stop ends the steward.
+func (s *Steward) Stop() { s.cancel() }
+
+// Done returns a channel that is closed when the steward has ended.
+func (s *Steward) Done() <-chan struct{} { return s.done }
+
+// Err returns why the steward has ended.
+func (s *Steward) Err() error {
+	<-s.done
+	return s.err
+}
+
+func (s *Steward) run(ctx context.Context) {
+	wake := s.services.Clock.After(0)
+	for {
+		select {
+		case f := <-s.inbox:
+			f(s.services.Clock.Now())
+		case <-wake:
+			wake = s.services.Clock.After(s.round(ctx))
+		case <-ctx.Done():
+			s.err = ctx.Err()
+			return
+		}
+	}
+}
+
+// do hands a message to the loop.
+func (s *Steward) do(f func(now time.Time)) {
+	select {
+	case s.inbox <- f:
+	case <-s.done:
+	}
+}
+
+// round surveys, decides and orders, and returns when to do so again.
+func (s *Steward) round(ctx context.Context) time.Duration {
+	if !s.services.Session.Proven() {
+		return roundEvery
+	}
+	layout := s.services.Layout()
+	s.planner.SetSpare(layout.Spare)
+	s.survey(ctx, layout.Work)
+	s.list(ctx)
+	now := s.services.Clock.Now()
+	s.takeWaves(ctx, now)
+	if s.listed.IsZero() || now.Before(s.opens) {
+		return roundEvery
+	}
+	d := s.planner.Decide(now)
+	s.closures = d.Closures
+	for _, o := range d.Orders {
+		s.order(ctx, o)
+	}
+	s.report(ctx, now)
+	if d.Fresh {
+		return freshEvery
+	}
+	return roundEvery
+}
+
+// survey asks the owners of all pools how these stand.
+func (s *Steward) survey(ctx context.Context, pools []string) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	surveys := make([]schedule.Survey, len(pools))
+	errs := make([]error, len(pools))
+	for n, pool := range pools {
+		req := schedule.SurveyRequest{Closures: s.closures[pool], Over: s.planner.Over(pool)}
+		wg.Go(func() { surveys[n], errs[n] = s.services.Pools.Survey(ctx, pool, req) })
+	}
+	wg.Wait()
+	now := s.services.Clock.Now()
+	for n, pool := range pools {
+		if errs[n] != nil {
+			s.planner.ForgetSurvey(pool)
+			continue
+		}
+		s.planner.SetSurvey(now, pool, surveys[n])
+	}
+}
+
+// list reads the list of machines, if that is due.
+func (s *Steward) list(ctx context.Context) {
+	now := s.services.Clock.Now()
+	every := listIdle
+	if s.planner.Busy() {
+		every = listBusy
+	}
+	if s.listing || now.Sub(s.listed) < every {
+		return
+	}
+	s.listing = true
+	go func() {
+		list, err := s.services.Machines.List(ctx)
+		s.do(func(time.Time) {
+			s.listing = false
+			if err != nil {
+				event.MachinesCut.Log(s.logger, slog.Any("error", err))
+				return
+			}
+			s.listed = now
+			s.planner.SetMachines(now, list)
+		})
+	}()
+}
+
+// order gives an order and hands its answer to the planner.
+func (s *Steward) order(ctx context.Context, o capacity.Order) {
+	by := pointport.Holder{Name: s.settings.Name, Fence: s.own.Fence}
+	from := s.services.Clock.Now()
+	go func() {
+		var err error
+		if o.Pool != "" {
+			err = s.services.Machines.Move(ctx, by, o.Machine, o.Pool)
+		} else {
+			err = s.services.Machines.Maintain(ctx, by, o.Machine, o.Wave)
+		}
+		s.do(func(now time.Time) {
+			event.MachineOrdered.Log(s.logger, slog.String("instance", string(o.Machine)), slog.String("pool", o.Pool),
+				slog.Int64("wave", o.Wave), slog.String("reason", o.Reason), slog.Duration("took", now.Sub(from)), slog.Any("error", err))
+			var refused *pointport.MachineRefusedError
+			s.planner.Answered(now, o, err, errors.As(err, &refused))
+		})
+	}()
+}
+
+// waveRecord is what is stored of a wave for the next steward.
+type waveRecord struct {
+	Begun     time.Time              `json:"begun"`
+	Ordered   []pointport.InstanceID `json:"ordered,omitempty"`
+	Completed bool                   `json:"completed,omitempty"`
+}
+
+func waveKey(put pointport.Put) string { return "wave/" + put.Key }
+
+// takeWaves takes in the waves, and what an earlier steward has stored of each.
+func (s *Steward) takeWaves(ctx context.Context, now time.Time) {
+	waves := s.services.Waves.Waves()
+	s.planner.SetWaves(now, waves)
+	for _, w := range waves {
+		if s.restored[w.ID] {
+			continue
+		}
+		e, err := s.services.KV.Get(ctx, waveKey(s.services.Waves.Status(w.ID, false)))
+		if err != nil {
+			event.PlanFailed.Log(s.logger, slog.Int64("wave", w.ID), slog.Any("error", err))
+			continue
+		}
+		s.restored[w.ID] = true
+		var r waveRecord
+		if !e.Exists() {
+			continue
+		}
+		if err := json.Unmarshal(e.Value(), &r); err != nil {
+			event.PlanFailed.Log(s.logger, slog.Int64("wave", w.ID), slog.Any("error", err))
+			continue
+		}
+		s.planner.Restore(w.ID, r.Begun, r.Ordered)
+	}
+}
+
+// report stores how far waves have come, for their operators and for the next
+// steward.
+func (s *Steward) report(ctx context.Context, now time.Time) {
+	for _, p := range s.planner.Progress(now) {
+		value, err := json.Marshal(waveRecord{Begun: p.Begun.UTC(), Ordered: p.Ordered, Completed: p.Completed})
+		if err != nil {
+			event.PlanFailed.Log(s.logger, slog.Int64("wave", p.Wave), slog.Any("error", err))
+			continue
+		}
+		if s.stored[p.Wave] == string(value) {
+			continue
+		}
+		status := s.services.Waves.Status(p.Wave, p.Completed)
+		_, err = s.services.KV.Commit(ctx, pointport.Txn{
+			If:  []pointport.Condition{{Key: member.OwnerKey(Post), Revision: s.own.Revision}},
+			Put: []pointport.Put{status, {Key: waveKey(status), Value: value}},
+		})
+		var conflict *pointport.TxnConflictError
+		switch {
+		case err == nil:
+			s.stored[p.Wave] = string(value)
+			event.WaveReported.Log(s.logger, slog.Int64("wave", p.Wave), slog.Int("ordered", len(p.Ordered)), slog.Bool("completed", p.Completed))
+		case errors.As(err, &conflict):
+			event.StoreRefused.Log(s.logger, slog.Any("error", err))
+			s.cancel()
+			return
+		default:
+			event.PlanFailed.Log(s.logger, slog.Int64("wave", p.Wave), slog.Any("error", err))
+		}
+	}
+}
