--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -293,10 +293,15 @@
 	return d
 }
 
-// repeat gives orders again that got no answer.
+// repeat gives orders again that got no answer. Until one comes, the machine
+// stays closed: the order may be carried out at any time.
 func (p *Planner) repeat(now time.Time, d *Decision) {
 	for _, m := range p.machines {
-		if m.order != nil && !m.answered && now.Sub(m.ordered) > orderAgain {
+		if m.order == nil || m.answered {
+			continue
+		}
+		d.Closures[m.pool] = append(d.Closures[m.pool], schedule.Closure{Instance: m.id})
+		if now.Sub(m.ordered) > orderAgain {
 			m.ordered = now
 			d.Orders = append(d.Orders, *m.order)
 		}
--- a/capacity/wave.go
+++ b/capacity/wave.go
@@ -95,7 +95,7 @@
 		if m.state != pointport.MachineUp || m.order != nil || m.load.Leaving {
 			continue
 		}
-		if p.maintainable(now, m, force) {
+		if p.maintainable(m, force) {
 			p.order(now, d, m, Order{Machine: m.id, Wave: w.wave.ID})
 			slots--
 			continue
@@ -112,13 +112,16 @@
 }
 
 // maintainable reports whether a machine can be maintained now.
-func (p *Planner) maintainable(now time.Time, m *machine, force bool) bool {
+func (p *Planner) maintainable(m *machine, force bool) bool {
 	switch {
 	case m.pool == p.spare:
 		return true
-	case m.load.Incarnation == "":
-		// Nobody answers for what runs there: the pool's owner does not know it.
-		return p.surveyed[m.pool] && now.Sub(m.since) > settleTime
+	case m.life == "":
+		return true // nothing runs where no software is up
+	case m.load.Incarnation != m.life:
+		// The pool's owner does not know this life, as when the owner is new, so
+		// nobody says what runs there.
+		return false
 	case m.load.Closed && m.load.Runs == 0:
 		return true
 	}
