--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -51,6 +51,8 @@
 type Decision struct {
 	// Closures lists, for each pool, the instances to close.
 	Closures map[string][]schedule.Closure
+	// Soon lists the instances that are to be maintained before long.
+	Soon []pointport.InstanceID
 	// Fresh reports whether an instance is to be closed that was not before.
 	Fresh  bool
 	Orders []Order
@@ -283,6 +285,9 @@
 	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
 	for _, id := range ids {
 		p.planWave(now, p.waves[id], &d)
+		for _, m := range p.waves[id].left(p.machines) {
+			d.Soon = append(d.Soon, m.id)
+		}
 	}
 	p.planSizes(now, &d)
 	for id, m := range p.machines {
@@ -468,6 +473,9 @@
 	n := max(1, len(p.machines))
 	need := p.surveys[pool].Need
 	s.want = max(inUse, leastInstances, instancesFor(need, room, n))
+	if spread := p.surveys[pool].Spread; spread > 0 {
+		s.want = max(s.want, s.have+spread)
+	}
 	sort.Slice(s.idle, func(i, k int) bool {
 		a, b := s.idle[i], s.idle[k]
 		if a.load.Closed != b.load.Closed {
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -85,7 +85,7 @@
 func (k *Keeper[T]) round(ctx context.Context) time.Duration {
 	k.reap()
 	next := keeperTick
-	if !k.roster.Known() || !k.session.Proven() {
+	if !k.roster.Known() {
 		return next
 	}
 	now := k.clock.Now()
@@ -119,12 +119,19 @@
 		return time.Millisecond
 	case held && !mineToo && holder.Mine:
 		// Taken by a change whose answer was lost.
-		k.begin(Ownership{Pool: pool, Fence: holder.Fence, Revision: holder.Revision})
+		// It is not proven until it is checked.
+		k.begin(k.roster.own(pool, holder.Fence, holder.Revision, time.Time{}))
+		return time.Millisecond
+	case mineToo:
+		k.check(ctx, mine)
 		return keeperTick
-	case held || mineToo:
+	case held:
 		delete(k.orphans, pool)
 		return keeperTick
 	}
+	if !k.session.Proven() {
+		return keeperTick
+	}
 	since, ok := k.orphans[pool]
 	if !ok {
 		since = now
@@ -136,6 +143,17 @@
 	return k.take(ctx, pool)
 }
 
+// check makes sure that a tenant still owns its pool.
+func (k *Keeper[T]) check(ctx context.Context, t T) {
+	err := k.roster.Check(ctx, t.Ownership())
+	switch {
+	case errors.Is(err, ErrLost):
+		t.Stop()
+	case err != nil:
+		event.PoolUnproven.Log(k.logger, slog.String("pool", t.Ownership().Pool), slog.Any("error", err))
+	}
+}
+
 func (k *Keeper[T]) take(ctx context.Context, pool string) time.Duration {
 	own, err := k.roster.Take(ctx, pool)
 	if err != nil {
--- a/member/roster.go
+++ b/member/roster.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
@@ -42,6 +43,56 @@
 	Fence pointport.Fence
 	// Revision is the owner key's revision, on which writes depend.
 	Revision pointport.Revision
+	proof    *proof
+}
+
+// A proof says until when an ownership has surely not been lost. A key may be
+// taken away although the lease that it goes with lives on, so a renewed lease
+// alone proves nothing.
+type proof struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+// Proven reports whether the ownership has surely not been lost at now.
+func (o Ownership) Proven(now time.Time) bool {
+	o.proof.mu.Lock()
+	defer o.proof.mu.Unlock()
+	return now.Before(o.proof.until)
+}
+
+// prove takes in that the owner key was seen by a call made at from.
+func (o Ownership) prove(from time.Time, ttl time.Duration) {
+	o.proof.mu.Lock()
+	defer o.proof.mu.Unlock()
+	if until := from.Add(ttl); until.After(o.proof.until) {
+		o.proof.until = until
+	}
+}
+
+// ErrLost says that another member owns the pool, or nobody.
+var ErrLost = errors.New("this member does not own the pool any more")
+
+// Check reads the owner key, so that Proven holds for longer. It fails with
+// ErrLost if the ownership is lost.
+func (r *Roster) Check(ctx context.Context, own Ownership) error {
+	from := r.clock.Now()
+	e, err := r.kv.Get(ctx, OwnerKey(own.Pool))
+	if err != nil {
+		return err
+	}
+	if e.Revision() != own.Revision {
+		return ErrLost
+	}
+	own.prove(from, r.session.TTL())
+	return nil
+}
+
+// own returns an ownership that was seen by a call made at from.
+func (r *Roster) own(pool string, fence pointport.Fence, revision pointport.Revision, from time.Time) Ownership {
+	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{}}
+	o.prove(from, r.session.TTL())
+	return o
 }
 
 // An owner is who owns a pool.
@@ -263,12 +314,13 @@
 		return Ownership{}, err
 	}
 	key := OwnerKey(pool)
+	from := r.clock.Now()
 	revision, err := r.kv.Commit(ctx, pointport.Txn{
 		If:  []pointport.Condition{{Key: key}},
 		Put: []pointport.Put{{Key: key, Value: value, Lease: lease}},
 	})
 	if err == nil {
-		return Ownership{Pool: pool, Fence: pointport.Fence(revision), Revision: revision}, nil
+		return r.own(pool, pointport.Fence(revision), revision, from), nil
 	}
 	return r.taken(ctx, pool, lease, err)
 }
@@ -279,6 +331,7 @@
 	if !errors.As(cause, &unavailable) || !unavailable.Ambiguous {
 		return Ownership{}, cause
 	}
+	from := r.clock.Now()
 	e, err := r.kv.Get(ctx, OwnerKey(pool))
 	if err != nil {
 		return Ownership{}, errors.Join(cause, err)
@@ -286,5 +339,5 @@
 	if !e.Exists() || e.Lease() != lease {
 		return Ownership{}, cause
 	}
-	return Ownership{Pool: pool, Fence: pointport.Fence(e.Created()), Revision: e.Revision()}, nil
+	return r.own(pool, pointport.Fence(e.Created()), e.Revision(), from), nil
 }
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -63,6 +63,8 @@
 	urgent bool
 	// looks are workers whose report is wanted at once.
 	looks map[*Worker]struct{}
+	// soon holds the instances that are to be emptied before long.
+	soon map[pointport.InstanceID]bool
 	// deposed says that an instance has seen a higher fence.
 	deposed bool
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -175,6 +175,8 @@
 	// servingScore is what it is worth that an instance has serving tasks, which
 	// keep it in the pool anyway.
 	servingScore = 0.5
+	// soonScore is what it is worth that a serving task need not move again.
+	soonScore = 2.0
 )
 
 // score says how well a worker suits a task; more is better. Work is packed, so
@@ -187,6 +189,9 @@
 	if w.serving > 0 {
 		score += servingScore
 	}
+	if t.step.Service && b.soon[w.inc.Instance()] {
+		score -= soonScore
+	}
 	return score
 }
 
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -24,6 +24,9 @@
 type SurveyRequest struct {
 	// Closures lists the instances that are to be closed; all others are open.
 	Closures []Closure `json:"closures,omitempty"`
+	// Soon lists instances that are to be emptied before long; serving tasks are
+	// better placed elsewhere.
+	Soon []pointport.InstanceID `json:"soon,omitempty"`
 	// Over lists incarnations that are known to be over.
 	Over []pointport.IncarnationID `json:"over,omitempty"`
 }
@@ -36,6 +39,9 @@
 	Need pointport.Shape `json:"need"`
 	// Waiting is the room that tasks want whose turn has come.
 	Waiting pointport.Shape `json:"waiting"`
+	// Spread is how many more instances it takes to hold the tasks whose step
+	// bounds how many of them one instance may hold.
+	Spread int `json:"spread,omitempty"`
 	// Widest is the largest room of a single waiting task.
 	Widest    pointport.Shape `json:"widest"`
 	Instances []InstanceLoad  `json:"instances"`
@@ -67,12 +73,18 @@
 		b.EndIncarnation(now, id)
 	}
 	b.close(now, req.Closures)
+	b.soon = make(map[pointport.InstanceID]bool, len(req.Soon))
+	for _, id := range req.Soon {
+		b.soon[id] = true
+	}
 	s := Survey{Need: b.need(now)}
-	for _, t := range b.waiting(now) {
+	waiting := b.waiting(now)
+	for _, t := range waiting {
 		room := t.step.Room()
 		s.Waiting = s.Waiting.Plus(room)
 		s.Widest = largest(s.Widest, room)
 	}
+	s.Spread = b.spread(now, waiting)
 	for _, w := range b.workers {
 		if w.ended || w.inc.Instance() == "" || !w.listed && len(w.runs) == 0 {
 			continue
@@ -83,6 +95,28 @@
 	return s
 }
 
+// spread returns how many more instances it takes to hold the waiting tasks whose
+// step bounds how many of them one instance may hold.
+func (b *Book) spread(now time.Time, tasks []waiting) int {
+	type group struct {
+		entry   *entry
+		k, step int
+	}
+	crowded := make(map[group]int)
+	workers := b.usable(now)
+	for _, t := range tasks {
+		if t.step.MaxPerInstance > 0 && b.choose(t, workers) == nil {
+			crowded[group{t.entry, t.ref.K, t.ref.Step}]++
+		}
+	}
+	most := 0
+	for g, n := range crowded {
+		per := g.entry.job.Spec().Steps[g.step].MaxPerInstance
+		most = max(most, (n+per-1)/per)
+	}
+	return most
+}
+
 func largest(a, b pointport.Shape) pointport.Shape {
 	return pointport.Shape{
 		CPUMilli: max(a.CPUMilli, b.CPUMilli), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -206,7 +206,7 @@
 		return turnGap - since
 	}
 	o.planned = now
-	if o.session.Proven() {
+	if o.own.Proven(now) {
 		o.book.Plan(now)
 		o.write(ctx, now)
 		o.send(ctx)
@@ -305,7 +305,7 @@
 
 // lookAround looks at every worker that is not being looked at.
 func (o *Owner) lookAround(ctx context.Context, now time.Time) {
-	if !o.session.Proven() {
+	if !o.own.Proven(now) {
 		return
 	}
 	for _, w := range o.book.TakeLooks() {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -104,6 +104,7 @@
 	planner  *capacity.Planner
 	inbox    chan func(now time.Time)
 	closures map[string][]schedule.Closure
+	soon     []pointport.InstanceID
 	listed   time.Time
 	listing  bool
 	opens    time.Time // when orders may be given
@@ -172,20 +173,17 @@
 
 // round surveys, decides and orders, and returns when to do so again.
 func (s *Steward) round(ctx context.Context) time.Duration {
-	if !s.services.Session.Proven() {
-		return roundEvery
-	}
 	layout := s.services.Layout()
 	s.planner.SetSpare(layout.Spare)
 	s.survey(ctx, layout.Work)
 	s.list(ctx)
 	now := s.services.Clock.Now()
 	s.takeWaves(ctx, now)
-	if s.listed.IsZero() || now.Before(s.opens) {
+	if s.listed.IsZero() || now.Before(s.opens) || !s.own.Proven(now) {
 		return roundEvery
 	}
 	d := s.planner.Decide(now)
-	s.closures = d.Closures
+	s.closures, s.soon = d.Closures, d.Soon
 	for _, o := range d.Orders {
 		s.order(ctx, o)
 	}
@@ -204,7 +202,7 @@
 	surveys := make([]schedule.Survey, len(pools))
 	errs := make([]error, len(pools))
 	for n, pool := range pools {
-		req := schedule.SurveyRequest{Closures: s.closures[pool], Over: s.planner.Over(pool)}
+		req := schedule.SurveyRequest{Closures: s.closures[pool], Soon: s.soon, Over: s.planner.Over(pool)}
 		wg.Go(func() { surveys[n], errs[n] = s.services.Pools.Survey(ctx, pool, req) })
 	}
 	wg.Wait()
