--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -56,6 +56,18 @@
 	// Fresh reports whether an instance is to be closed that was not before.
 	Fresh  bool
 	Orders []Order
+	// Sizes says how many instances the pools have and should have.
+	Sizes []Size
+}
+
+// A Size is how many instances a pool has and should have, and why.
+type Size struct {
+	Pool    string
+	Have    int // in use or on their way
+	Want    int
+	Idle    int // of those, how many may go
+	Need    pointport.Shape
+	Waiting pointport.Shape
 }
 
 // A machine is what the planner knows of one.
@@ -85,6 +97,7 @@
 	surveys  map[string]survey
 	surveyed map[string]bool
 	listed   time.Time // when the newest list was asked for
+	reserved map[pointport.InstanceID]bool
 }
 
 // A survey is how a pool stood at a time.
@@ -104,6 +117,14 @@
 // SetSpare names the spare pool, empty if there is none.
 func (p *Planner) SetSpare(pool string) { p.spare = pool }
 
+// Reserve names the machines about which nothing may be ordered now.
+func (p *Planner) Reserve(ids map[pointport.InstanceID]bool) { p.reserved = ids }
+
+// free reports whether a machine may be ordered about.
+func (p *Planner) free(m *machine) bool {
+	return m.state == pointport.MachineUp && m.order == nil && !p.reserved[m.id]
+}
+
 // SetMachines takes in the platform's list, which was asked for at asked.
 func (p *Planner) SetMachines(asked time.Time, list []pointport.Machine) {
 	p.listed = asked
@@ -341,6 +362,10 @@
 // planSizes moves instances between pools.
 func (p *Planner) planSizes(now time.Time, d *Decision) {
 	sizes := p.sizes(now)
+	for _, s := range sizes {
+		v := p.surveys[s.pool]
+		d.Sizes = append(d.Sizes, Size{Pool: s.pool, Have: s.have, Want: s.want, Idle: len(s.idle), Need: v.Need, Waiting: v.Waiting})
+	}
 	spare := p.spares(now)
 	sort.SliceStable(sizes, func(i, k int) bool {
 		return sizes[i].want-sizes[i].have > sizes[k].want-sizes[k].have
@@ -427,7 +452,7 @@
 func (p *Planner) spares(now time.Time) []*machine {
 	var out []*machine
 	for _, m := range p.machines {
-		if p.spare != "" && m.pool == p.spare && m.state == pointport.MachineUp && m.order == nil {
+		if p.spare != "" && m.pool == p.spare && p.free(m) {
 			out = append(out, m)
 		}
 	}
@@ -465,7 +490,7 @@
 			if m.load.Serving > 0 {
 				inUse++
 			}
-			if m.state == pointport.MachineUp && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
+			if p.free(m) && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
 				s.idle = append(s.idle, m)
 			}
 		}
--- a/capacity/wave.go
+++ b/capacity/wave.go
@@ -92,7 +92,7 @@
 		if slots <= 0 {
 			return
 		}
-		if m.state != pointport.MachineUp || m.order != nil || m.load.Leaving {
+		if !p.free(m) || m.load.Leaving {
 			continue
 		}
 		if p.maintainable(m, force) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -31,6 +31,7 @@
 	StoreLost              = define(221, "store lost", slog.LevelWarn, "The platform's store gives no answer; what lasts cannot be changed.")
 	StoreBack              = define(222, "store back", slog.LevelInfo, "The platform's store answers again.")
 	LeaseEnded             = define(223, "lease ended", slog.LevelWarn, "This member's lease has ended, and with it everything that it owned.")
+	FormerEnded            = define(234, "former lease ended", slog.LevelInfo, "The lease of an earlier life of this member was ended, so that what it owned is free at once.")
 	EnrollFailed           = define(224, "enroll failed", slog.LevelWarn, "This member could not put itself into the roster; it tries again.")
 	RosterUnreadable       = define(225, "roster unreadable", slog.LevelError, "A key of the roster cannot be read; it is passed over.")
 	PoolTaken              = define(226, "pool taken", slog.LevelInfo, "This member owns a pool from now on; its orders bear the fence.")
@@ -70,6 +71,7 @@
 // Events of machines.
 var (
 	MachineOrdered = define(421, "machine ordered", slog.LevelInfo, "The platform was asked to move an instance to a pool, or to maintain it for a wave; error says whether it refused or gave no answer.")
+	PoolSized      = define(425, "pool sized", slog.LevelInfo, "A pool has, or should have, another number of instances than before.")
 	MachinesCut    = define(422, "machine list cut off", slog.LevelWarn, "The platform's list of machines cannot be read; the last one stays in use.")
 	WaveReported   = define(423, "wave reported", slog.LevelInfo, "How far a wave has come was stored.")
 	WaveUnreadable = define(424, "wave unreadable", slog.LevelError, "A wave that an operator asks for cannot be read; it is passed over.")
--- a/member/roster.go
+++ b/member/roster.go
@@ -151,6 +151,13 @@
 	if err != nil {
 		return err
 	}
+	former, err := r.kv.Get(ctx, memberPrefix+r.self.Name)
+	if err != nil {
+		return err
+	}
+	if err := r.session.EndFormer(ctx, former.Lease()); err != nil {
+		return err
+	}
 	_, err = r.kv.Commit(ctx, pointport.Txn{Put: []pointport.Put{{Key: memberPrefix + r.self.Name, Value: value, Lease: lease}}})
 	return err
 }
--- a/member/session.go
+++ b/member/session.go
@@ -31,8 +31,9 @@
 const (
 	// DefaultTTL is how long a member's lease lasts unrenewed. It bounds how
 	// long the pools of a member that died have no owner.
-	DefaultTTL = 2 * time.Second
-	// renewals is how often a lease is renewed within its time.
+	DefaultTTL = 1500 * time.Millisecond
+	// renewals is how often a lease is renewed within its time. A slow store
+	// takes a quarter of a second for an answer, and one answer may be lost.
 	renewals = 4
 )
 
@@ -56,7 +57,9 @@
 	s := &Session{kv: kv, clock: clock, logger: logger, ttl: ttl, renewed: make(chan struct{})}
 	go func() {
 		for ctx.Err() == nil {
-			s.report(ctx, s.keep(ctx))
+			call, done := context.WithTimeout(ctx, ttl/2)
+			s.report(ctx, s.keep(call))
+			done()
 			select {
 			case <-clock.After(ttl / renewals):
 			case <-ctx.Done():
@@ -150,6 +153,16 @@
 	return s.renewed
 }
 
+// EndFormer ends the lease of an earlier life of this member, whose process is
+// gone, so that nobody need wait for it to lapse.
+func (s *Session) EndFormer(ctx context.Context, lease pointport.LeaseID) error {
+	if lease == 0 || lease == s.Lease() {
+		return nil
+	}
+	event.FormerEnded.Log(s.logger, slog.Int64("lease", int64(lease)))
+	return s.kv.Revoke(ctx, lease)
+}
+
 // End gives the lease back; all keys under it go at once.
 func (s *Session) End(ctx context.Context) error {
 	lease := s.Lease()
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -89,6 +89,7 @@
 	wrote    time.Time
 	planned  time.Time
 	looking  map[*schedule.Worker]*look
+	lanes    map[*schedule.Worker]*lane
 	waiters  []func() // called once the batch being decided is stored
 	removals []string
 	cancel   context.CancelFunc
@@ -115,7 +116,7 @@
 		logger: logger.With(slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence))),
 		lease:  DefaultLease,
 		inbox:  make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
-		looking: make(map[*schedule.Worker]*look), cancel: cancel,
+		looking: make(map[*schedule.Worker]*look), lanes: make(map[*schedule.Worker]*lane), cancel: cancel,
 	}
 	for _, option := range options {
 		option(o)
@@ -278,15 +279,51 @@
 	o.cancel()
 }
 
+// A lane is the orders that wait for one worker. Few go at once: each one beside
+// another takes a connection of its own.
+type lane struct {
+	queue    []schedule.Order
+	inFlight int
+}
+
+// laneWidth is how many orders go to one worker at once, so that one without an
+// answer does not hold up the rest.
+const laneWidth = 2
+
 // send sends the orders that are due.
 func (o *Owner) send(ctx context.Context) {
 	for _, order := range o.book.TakeOrders() {
-		until := order.Worker.Until(o.clock.Now(), o.lease)
+		l := o.lanes[order.Worker]
+		if l == nil {
+			l = &lane{}
+			o.lanes[order.Worker] = l
+		}
+		l.queue = append(l.queue, order)
+		o.pump(ctx, order.Worker, l)
+	}
+}
+
+// pump sends what waits in a lane, as far as its width allows.
+func (o *Owner) pump(ctx context.Context, w *schedule.Worker, l *lane) {
+	for len(l.queue) > 0 && l.inFlight < laneWidth {
+		order := l.queue[0]
+		l.queue = l.queue[1:]
+		l.inFlight++
+		until := w.Until(o.clock.Now(), o.lease)
 		go func() {
 			clock, err := o.carryOut(ctx, order, until)
-			o.do(func(now time.Time) { o.book.Answered(order, now, clock, err) })
+			o.do(func(now time.Time) {
+				l.inFlight--
+				o.book.Answered(order, now, clock, err)
+				if o.own.Proven(now) {
+					o.pump(ctx, w, l)
+				}
+			})
 		}()
 	}
+	if len(l.queue) == 0 && l.inFlight == 0 {
+		delete(o.lanes, w)
+	}
 }
 
 func (o *Owner) carryOut(ctx context.Context, order schedule.Order, until pointport.InstanceClock) (pointport.InstanceClock, error) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -9,8 +9,8 @@
 //
 // Invariants:
 //
-//   - A new steward gives no order until an order of its predecessor is so old
-//     that the two do not count as taking turns.
+//   - Every order is in the journal before it is given, so a new steward leaves
+//     exactly those machines alone for a while that its predecessor ordered last.
 //   - No order is given while this member cannot prove its lease.
 package steward
 
@@ -107,9 +107,10 @@
 	soon     []pointport.InstanceID
 	listed   time.Time
 	listing  bool
-	opens    time.Time // when orders may be given
+	journal  *journal
 	stored   map[int64]string
 	restored map[int64]bool
+	sizes    map[string]capacity.Size // as last logged
 }
 
 var _ member.Tenant = (*Steward)(nil)
@@ -122,8 +123,9 @@
 		services: s, settings: settings, own: own, cancel: cancel, done: make(chan struct{}),
 		logger:  logger.With(slog.Int64("fence", int64(own.Fence))),
 		planner: capacity.NewPlanner(settings.Planner), inbox: make(chan func(time.Time), inboxSize),
-		opens:  s.Clock.Now().Add(s.Session.TTL() + settings.HolderTime + turnSlack),
-		stored: make(map[int64]string), restored: make(map[int64]bool),
+		journal: newJournal(s.KV, own, settings.HolderTime+turnSlack),
+		stored:  make(map[int64]string), restored: make(map[int64]bool),
+		sizes: make(map[string]capacity.Size),
 	}
 	go func() {
 		defer close(st.done)
@@ -179,14 +181,18 @@
 	s.list(ctx)
 	now := s.services.Clock.Now()
 	s.takeWaves(ctx, now)
-	if s.listed.IsZero() || now.Before(s.opens) || !s.own.Proven(now) {
+	if s.listed.IsZero() || !s.own.Proven(now) {
 		return roundEvery
 	}
+	if err := s.journal.open(ctx); err != nil {
+		event.PlanFailed.Log(s.logger, slog.String("part", "journal"), slog.Any("error", err))
+		return roundEvery
+	}
+	s.planner.Reserve(s.journal.reserved(now))
 	d := s.planner.Decide(now)
 	s.closures, s.soon = d.Closures, d.Soon
-	for _, o := range d.Orders {
-		s.order(ctx, o)
-	}
+	s.logSizes(d.Sizes)
+	s.orders(ctx, d.Orders)
 	s.report(ctx, now)
 	if d.Fresh {
 		return freshEvery
@@ -194,6 +200,18 @@
 	return roundEvery
 }
 
+// logSizes notes the pools whose size has changed, or should.
+func (s *Steward) logSizes(sizes []capacity.Size) {
+	for _, z := range sizes {
+		if last, ok := s.sizes[z.Pool]; ok && last.Have == z.Have && last.Want == z.Want {
+			continue
+		}
+		s.sizes[z.Pool] = z
+		event.PoolSized.Log(s.logger, slog.String("pool", z.Pool), slog.Int("have", z.Have), slog.Int("want", z.Want),
+			slog.Int("idle", z.Idle), slog.Int64("needCPUMilli", z.Need.CPUMilli), slog.Int64("waitingCPUMilli", z.Waiting.CPUMilli))
+	}
+}
+
 // survey asks the owners of all pools how these stand.
 func (s *Steward) survey(ctx context.Context, pools []string) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
@@ -241,6 +259,24 @@
 	}()
 }
 
+// orders writes orders to the journal and gives them. Those that cannot be
+// written are not given; the planner asks for them again.
+func (s *Steward) orders(ctx context.Context, orders []capacity.Order) {
+	if len(orders) == 0 {
+		return
+	}
+	if err := s.journal.add(ctx, s.services.Clock.Now(), orders); err != nil {
+		event.PlanFailed.Log(s.logger, slog.String("part", "journal"), slog.Any("error", err))
+		return
+	}
+	if !s.own.Proven(s.services.Clock.Now()) {
+		return // the write took too long to count on the key any more
+	}
+	for _, o := range orders {
+		s.order(ctx, o)
+	}
+}
+
 // order gives an order and hands its answer to the planner.
 func (s *Steward) order(ctx context.Context, o capacity.Order) {
 	by := pointport.Holder{Name: s.settings.Name, Fence: s.own.Fence}
