--- a/intake/desk.go
+++ b/intake/desk.go
@@ -38,8 +38,9 @@
 
 // An Owners reaches the owners of pools, wherever they are.
 type Owners interface {
-	// Submitted tells a pool's owner of an accepted job. It does not wait.
-	Submitted(pool, id string, accepted []byte)
+	// Submitted tells a pool's owner of a job that was accepted by the change
+	// that made revision at. It does not wait.
+	Submitted(pool, id string, accepted []byte, at pointport.Revision)
 	// Cancel has a pool's owner cancel a job; false if it does not know the job.
 	Cancel(ctx context.Context, pool, id string) (bool, error)
 	// Status asks a pool's owner for a job; false if it does not know the job.
@@ -114,44 +115,44 @@
 			{Key: workload.OpenKey(q.Pool, id), Value: accepted},
 		},
 	}
-	known, err := d.commit(ctx, id, txn)
+	at, err := d.commit(ctx, id, txn)
 	if err != nil {
 		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("reason", err))
 		return err
 	}
 	event.JobAccepted.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("pool", q.Pool),
-		slog.Bool("known", known), slog.Duration("took", d.clock.Now().Sub(now)))
-	if !known {
-		d.owners.Submitted(q.Pool, id, accepted)
+		slog.Bool("known", at == 0), slog.Duration("took", d.clock.Now().Sub(now)))
+	if at != 0 {
+		d.owners.Submitted(q.Pool, id, accepted, at)
 	}
 	return nil
 }
 
-// commit makes a change that takes an identity. It reports whether the identity
-// was taken before.
-func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (known bool, err error) {
+// commit makes a change that takes an identity, and returns its revision. The
+// revision is zero if the identity was taken before: by an earlier submission,
+// or by a sending of this one whose answer was lost. Which it was does not
+// matter, since the owner sees the job in the store.
+func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (pointport.Revision, error) {
 	unsure := false
 	for {
-		_, err := d.kv.Commit(ctx, txn)
+		at, err := d.kv.Commit(ctx, txn)
 		if err == nil {
-			return false, nil
+			return at, nil
 		}
 		var conflict *pointport.TxnConflictError
 		if errors.As(err, &conflict) {
-			// If an earlier sending was without an answer, it may have been that
-			// one; telling the owner again does no harm.
-			return !unsure, nil
+			return 0, nil
 		}
 		var unavailable *pointport.UnavailableError
 		ambiguous := !errors.As(err, &unavailable) || unavailable.Ambiguous
 		unsure = unsure || ambiguous
 		if !unsure {
-			return false, &RefusedError{ID: id, After: retryAfter, Cause: err.Error()}
+			return 0, &RefusedError{ID: id, After: retryAfter, Cause: err.Error()}
 		}
 		select {
 		case <-d.clock.After(unsureRetry):
 		case <-ctx.Done():
-			return false, &UnsureError{ID: id, Err: err}
+			return 0, &UnsureError{ID: id, Err: err}
 		}
 	}
 }
@@ -241,14 +242,14 @@
 	if err != nil {
 		return err
 	}
-	known, err := d.commit(ctx, id, pointport.Txn{
+	at, err := d.commit(ctx, id, pointport.Txn{
 		If:  []pointport.Condition{{Key: workload.RecordKey(id)}},
 		Put: []pointport.Put{{Key: workload.RecordKey(id), Value: record}},
 	})
 	if err != nil {
 		return err
 	}
-	if known {
+	if at == 0 {
 		return d.leaveCancel(ctx, q.Pool, id)
 	}
 	return &UnknownJobError{ID: id}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
@@ -51,6 +52,8 @@
 	Job      string          `json:"job,omitempty"`
 	Queue    string          `json:"queue,omitempty"`
 	Accepted json.RawMessage `json:"accepted,omitempty"`
+	// At is the revision at which a job was accepted.
+	At pointport.Revision `json:"at,omitempty"`
 	// Survey goes with a question on how a pool stands.
 	Survey *schedule.SurveyRequest `json:"survey,omitempty"`
 }
@@ -112,13 +115,13 @@
 }
 
 // Submitted tells a pool's owner of an accepted job.
-func (o *Owners) Submitted(pool, id string, accepted []byte) {
+func (o *Owners) Submitted(pool, id string, accepted []byte, at pointport.Revision) {
 	if local, ok := o.keeper.Tenant(pool); ok {
-		local.Submitted(id, accepted)
+		local.Submitted(id, accepted, at)
 		return
 	}
 	go func() {
-		_, err := o.ask(context.Background(), submittedPath, question{Pool: pool, Job: id, Accepted: accepted})
+		_, err := o.ask(context.Background(), submittedPath, question{Pool: pool, Job: id, Accepted: accepted, At: at})
 		if err != nil {
 			event.PeerSilent.Log(o.logger, slog.String("pool", pool), slog.String("job", id), slog.Any("error", err))
 		}
@@ -187,7 +190,7 @@
 		})
 	}
 	handle(submittedPath, func(_ context.Context, o *shard.Owner, q question) (reply, error) {
-		o.Submitted(q.Job, q.Accepted)
+		o.Submitted(q.Job, q.Accepted, q.At)
 		return reply{Known: true}, nil
 	})
 	handle(cancelPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -77,15 +77,16 @@
 // Heard reports whether the worker has answered yet.
 func (w *Worker) Heard() bool { return !w.heard.IsZero() }
 
-// Idle reports whether nothing is placed on the worker.
-func (w *Worker) Idle() bool { return len(w.runs) == 0 }
+// Silent reports whether the last order or look got no answer.
+func (w *Worker) Silent() bool { return w.silent }
 
 // Until returns the time on the instance's clock that is ahead from now by
 // lease, and notes that tasks may run up to it. It returns zero while the clock
-// is not known.
+// is not known, and nothing later than before while the instance is silent: it
+// may hear what it does not answer, and its tasks would never expire.
 func (w *Worker) Until(now time.Time, lease time.Duration) pointport.InstanceClock {
-	if w.heard.IsZero() {
-		return 0
+	if w.heard.IsZero() || w.silent {
+		return w.until
 	}
 	until := w.clock + pointport.InstanceClock(now.Sub(w.heard)+lease)
 	if until > w.until {
--- a/shard/load.go
+++ b/shard/load.go
@@ -66,6 +66,7 @@
 		saved[strings.TrimPrefix(e.Key(), workload.ProgressPrefix(o.own.Pool))] = e.Value()
 	}
 	o.take(open, saved)
+	o.loaded = at
 	return at, nil
 }
 
@@ -110,10 +111,16 @@
 	member.Follow(ctx, o.kv, o.clock, workload.OpenPrefix(o.own.Pool), take, take, member.From(at))
 }
 
-// Submitted tells the owner of a job that was accepted; accepted is its stored
-// form.
-func (o *Owner) Submitted(id string, accepted []byte) {
-	o.do(func(now time.Time) { o.add(now, id, accepted, nil) })
+// Submitted tells the owner of a job that was accepted at a revision; accepted
+// is its stored form. A message that was under way while the owner changed may
+// be about a job that the earlier owner has ended already, so what this owner
+// has read from the store is not taken in again.
+func (o *Owner) Submitted(id string, accepted []byte, at pointport.Revision) {
+	o.do(func(now time.Time) {
+		if at > o.loaded {
+			o.add(now, id, accepted, nil)
+		}
+	})
 }
 
 // Cancel cancels a job and returns once that is stored. It reports whether the
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -84,6 +84,7 @@
 
 	// What follows belongs to the loop.
 	book     *schedule.Book
+	loaded   pointport.Revision // as of which the pool's open jobs were read
 	writer   *writer
 	writing  bool
 	wrote    time.Time
@@ -376,7 +377,7 @@
 func (o *Owner) look(ctx context.Context, now time.Time, w *schedule.Worker, waitFor time.Duration) {
 	l := o.lookOf(w)
 	l.inFlight++
-	if !w.Heard() {
+	if !w.Heard() || w.Silent() {
 		waitFor = 0 // its clock must be known before anything can be extended
 	}
 	order := pointport.HoldOrder{Fence: o.own.Fence, Until: w.Until(now, o.lease), Acknowledged: w.Acked(), Wait: waitFor}
