Order jobs by whether they can still end in time

Cause: by deadline alone, an overloaded pool ends every job a little late; and each plan looked at every task of every open job.

Change: jobs that begun and can end in time first, then fresh ones that can, then late ones; only jobs with waiting tasks are looked at.

--- a/schedule/arrivals.go
+++ b/schedule/arrivals.go
@@ -34,7 +34,8 @@
 }
 
 // add takes in that a job has arrived.
-func (a *arrivals) add(now time.Time, spec *workload.Spec, learned *estimates) {
+func (a *arrivals) add(now time.Time, j *workload.Job, learned *estimates) {
+	spec := j.Spec()
 	a.decay(now)
 	window := arrivalWindow.Seconds()
 	for n := range spec.Steps {
@@ -42,7 +43,7 @@
 		if s.Service {
 			continue
 		}
-		weight := float64(s.Count) * learned.duration(s).Seconds() / window
+		weight := float64(s.Count) * learned.duration(j.Queue(), s).Seconds() / window
 		a.cpu += weight * float64(s.Room().CPUMilli)
 		a.memory += weight * float64(s.Room().MemoryMiB)
 	}
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -71,6 +71,8 @@
 	for _, e := range batch.ended {
 		b.over[e.job.ID()] = finished{e.ended, now}
 		delete(b.jobs, e.job.ID())
+		delete(b.hungry, e)
+		delete(b.recurring, e)
 		event.JobEnded.Log(b.logger, slog.String("job", e.job.ID()), slog.String("queue", e.job.Queue()),
 			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.Submitted())))
 	}
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -30,8 +30,12 @@
 type entry struct {
 	job  *workload.Job
 	runs map[workload.TaskRef]*Run
-	// deadline is when the job should have ended, reckoned anew at each plan.
-	deadline time.Time
+	// ready lists the tasks whose turn has come; stale says that it must be made
+	// anew.
+	ready []waiting
+	stale bool
+	// standing is how pressing the job was at the last plan.
+	standing standing
 	// ended is the state in which the job is over, empty while it is not.
 	ended workload.Status
 }
@@ -56,7 +60,10 @@
 	learned  *estimates
 	arrivals arrivals
 	dirty    map[*entry]struct{}
-	decided  []*Run // to be stored, then sent
+	// hungry holds the jobs that may have tasks whose turn has come, recurring
+	// those of which further occurrences are due.
+	hungry, recurring map[*entry]struct{}
+	decided           []*Run // to be stored, then sent
 	// sends are orders that need nothing stored: stops and repeated starts.
 	sends []Order
 	// urgent says that something waits for the next batch to be stored.
@@ -78,7 +85,8 @@
 		over:    make(map[string]finished),
 		learned: newEstimates(),
 		dirty:   make(map[*entry]struct{}),
-		looks:   make(map[*Worker]struct{}),
+		hungry:  make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
+		looks: make(map[*Worker]struct{}),
 	}
 }
 
@@ -97,8 +105,12 @@
 	e := &entry{job: j, runs: make(map[workload.TaskRef]*Run)}
 	b.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 {
-		b.arrivals.add(now, j.Spec(), b.learned)
+		b.arrivals.add(now, j, b.learned)
 	}
+	if j.Spec().Recur.Times > 0 {
+		b.recurring[e] = struct{}{}
+	}
+	b.changed(e)
 	b.inherit(now, e)
 	if j.Stopping() {
 		b.stopAll(now, e, "its job is over")
@@ -192,8 +204,15 @@
 	return n
 }
 
-// touch marks a job as to be stored.
+// changed notes that other tasks of a job may be ready than before.
+func (b *Book) changed(e *entry) {
+	e.stale = true
+	b.hungry[e] = struct{}{}
+}
+
+// touch marks a job as changed and to be stored.
 func (b *Book) touch(e *entry, urgent bool) {
+	b.changed(e)
 	b.dirty[e] = struct{}{}
 	b.urgent = b.urgent || urgent
 }
@@ -404,7 +423,7 @@
 
 func (b *Book) runDone(now time.Time, r *Run) {
 	if !r.liveAt.IsZero() {
-		b.learned.observe(r.step().Image, now.Sub(r.liveAt))
+		b.learned.observe(r.entry.job.Queue(), r.step(), now.Sub(r.liveAt))
 	}
 	r.worker.health.succeeded()
 	b.forget(r)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,37 +13,28 @@
 
 // This file defines the plan: which waiting task goes where.
 
-// A waiting task is one whose turn has come.
-type waiting struct {
-	entry *entry
-	ref   workload.TaskRef
-	step  *workload.Step
-}
-
 // Plan decides what to do at now.
 func (b *Book) Plan(now time.Time) {
 	b.sweep(now)
 	b.repeatStops(now)
 	b.begin(now)
 	b.relocate(now)
-	tasks := b.waiting(now)
-	if len(tasks) == 0 {
+	if len(b.hungry) == 0 {
 		return
 	}
 	workers := b.usable(now)
 	if len(workers) == 0 {
 		return
 	}
-	for _, t := range tasks {
-		if w := b.choose(t, workers); w != nil {
-			b.place(now, t, w)
-		}
+	p := placement{book: b, now: now, workers: workers}
+	for _, e := range b.queue(now) {
+		p.placeAll(e)
 	}
 }
 
 // begin starts the occurrences that are due.
 func (b *Book) begin(now time.Time) {
-	for _, e := range b.jobs {
+	for e := range b.recurring {
 		if e.ended == "" && e.job.Begin(now.Add(b.settings.Early)) {
 			b.touch(e, false)
 		}
@@ -54,7 +46,7 @@
 func (b *Book) NextDue() (time.Time, bool) {
 	var next time.Time
 	found := false
-	for _, e := range b.jobs {
+	for e := range b.recurring {
 		if due, ok := e.job.NextDue(); ok && (!found || due.Before(next)) {
 			next, found = due, true
 		}
@@ -62,67 +54,81 @@
 	return next, found
 }
 
-// waiting returns the tasks whose turn has come, the most pressing first.
-func (b *Book) waiting(now time.Time) []waiting {
-	var out []waiting
-	for _, e := range b.jobs {
-		if e.ended != "" || e.job.Stopping() {
-			continue
-		}
-		before := len(out)
-		e.job.Occurrences(func(o *workload.Occurrence) { out = b.waitingOf(e, o, out) })
-		if len(out) > before {
-			e.deadline = b.deadline(e)
-		}
-	}
-	sort.Slice(out, func(i, k int) bool { return less(&out[i], &out[k], now) })
-	return out
+// A placement gives waiting tasks to workers.
+type placement struct {
+	book    *Book
+	now     time.Time
+	workers []*Worker
+	// full lists rooms that no worker has. Rooms only shrink while tasks are
+	// placed, so whoever needs as much finds none either.
+	full []pointport.Shape
 }
 
-func (b *Book) waitingOf(e *entry, o *workload.Occurrence, out []waiting) []waiting {
-	for n, step := range o.Steps {
-		if o.Left(n) == 0 || !e.job.Ready(o, n) {
-			continue
-		}
-		for i := range step {
-			if step[i].Phase == workload.Pending {
-				ref := workload.TaskRef{K: o.K, Step: n, Index: i}
-				out = append(out, waiting{e, ref, &e.job.Spec().Steps[n]})
-			}
+// placeAll gives the waiting tasks of a job to workers, as far as they fit.
+func (p *placement) placeAll(e *entry) {
+	placed := 0
+	for _, t := range e.ready {
+		if !p.place(t) {
+			break
 		}
+		placed++
 	}
-	return out
-}
-
-// deadline returns when a job should have ended.
-func (b *Book) deadline(e *entry) time.Time {
-	chain := time.Duration(0)
-	for _, d := range b.learned.chains(e.job.Spec()) {
-		chain = max(chain, d)
+	if placed == 0 {
+		return
+	}
+	// Like tasks follow each other; of those left, some may still fit.
+	for _, t := range e.ready[placed:] {
+		p.place(t)
 	}
-	p := e.job.Policy()
-	return e.job.Submitted().Add(time.Duration(p.Stretch*float64(chain)) + p.Target)
+	e.stale = true
 }
 
-// less orders waiting tasks: by priority, then by deadline, then by name so that
-// the order is the same each time.
-func less(a, b *waiting, _ time.Time) bool {
-	if x, y := a.entry.job.Policy().Priority, b.entry.job.Policy().Priority; x != y {
-		return x < y
+// place gives a task to the worker that suits it best; false if none has room.
+func (p *placement) place(t waiting) bool {
+	room := t.step.Room()
+	bound := t.step.MaxPerInstance > 0 || t.step.Label != ""
+	if p.knownFull(room) {
+		return false
 	}
-	if !a.entry.deadline.Equal(b.entry.deadline) {
-		return a.entry.deadline.Before(b.entry.deadline)
+	w := p.book.choose(t, p.workers)
+	if w != nil {
+		p.book.place(p.now, t, w)
+		return true
 	}
-	if a.entry != b.entry {
-		return a.entry.job.ID() < b.entry.job.ID()
+	if !bound {
+		p.full = append(p.full, room)
 	}
-	if a.ref.K != b.ref.K {
-		return a.ref.K < b.ref.K
+	if t.step.Service {
+		p.reserve(t)
 	}
-	if a.ref.Step != b.ref.Step {
-		return a.ref.Step < b.ref.Step
+	return false
+}
+
+// knownFull reports whether no worker has room for as much.
+func (p *placement) knownFull(room pointport.Shape) bool {
+	for _, f := range p.full {
+		if room.Fits(f) {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve keeps a worker free of other tasks until a serving task fits there,
+// because smaller tasks would always take the room that falls free.
+func (p *placement) reserve(t waiting) {
+	best := -1
+	for i, w := range p.workers {
+		if !w.hasLabel(t.step.Label) || p.book.crowded(t, w) || !w.inc.Capacity().Fits(t.step.Room()) {
+			continue
+		}
+		if best < 0 || w.free.CPUMilli > p.workers[best].free.CPUMilli {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.workers = slices.Delete(slices.Clone(p.workers), best, best+1)
 	}
-	return a.ref.Index < b.ref.Index
 }
 
 // usable returns the workers on which tasks may be placed.
@@ -217,3 +223,10 @@
 	event.TaskPlaced.Log(b.logger, slog.String("task", r.name), slog.Int("run", number),
 		slog.String("incarnation", string(w.inc.ID())), slog.Int64("freeCPUMilli", w.free.CPUMilli))
 }
+
+// A waiting task is one whose turn has come.
+type waiting struct {
+	entry *entry
+	ref   workload.TaskRef
+	step  *workload.Step
+}
--- /dev/null
+++ b/schedule/queue.go
@@ -0,0 +1,144 @@
+package schedule
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport/workload"
+)
+
+// This file defines the order in which jobs get room.
+//
+// A job earns its full worth only if it ends in time. When there is more work
+// than room, taking the job whose time is nearest first would end them all a
+// little late, so a job that can hardly end in time any more waits behind those
+// that can. Among these, jobs that have begun go first, because what they have
+// done already would be lost.
+
+const (
+	// doubtTime and doubtShare make up the time that must be left beyond what a
+	// job probably takes, for it to count as able to end in time: some that passes
+	// until a start has reached its instance, and a share of the job's chain of
+	// work, which is only estimated.
+	doubtTime  = 80 * time.Millisecond
+	doubtShare = 0.08
+)
+
+// A standing says how pressing a job is; less comes first.
+type standing struct {
+	priority int
+	// class is 0 for tasks that serve, 1 for jobs that can end in time and have
+	// begun, 2 for those that have not, 3 for those that will be late.
+	class int
+	// latest is when the job's next tasks must start for it to end in time.
+	latest time.Time
+}
+
+func (s standing) less(t standing) bool {
+	switch {
+	case s.priority != t.priority:
+		return s.priority < t.priority
+	case s.class != t.class:
+		return s.class < t.class
+	}
+	return s.latest.Before(t.latest)
+}
+
+// The classes of a standing.
+const (
+	classServing = iota
+	classBegun
+	classFresh
+	classLate
+)
+
+// queue returns the jobs with waiting tasks, the most pressing first.
+func (b *Book) queue(now time.Time) []*entry {
+	out := make([]*entry, 0, len(b.hungry))
+	for e := range b.hungry {
+		b.refresh(e)
+		if len(e.ready) == 0 {
+			delete(b.hungry, e)
+			continue
+		}
+		e.standing = b.stand(now, e)
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].standing != out[k].standing {
+			return out[i].standing.less(out[k].standing)
+		}
+		return out[i].job.ID() < out[k].job.ID()
+	})
+	return out
+}
+
+// refresh lists the tasks of a job whose turn has come, if that has changed.
+func (b *Book) refresh(e *entry) {
+	if !e.stale {
+		return
+	}
+	e.stale = false
+	e.ready = e.ready[:0]
+	if e.ended != "" || e.job.Stopping() {
+		return
+	}
+	e.job.Occurrences(func(o *workload.Occurrence) {
+		for n, step := range o.Steps {
+			if o.Left(n) == 0 || !e.job.Ready(o, n) {
+				continue
+			}
+			for i := range step {
+				if step[i].Phase == workload.Pending {
+					ref := workload.TaskRef{K: o.K, Step: n, Index: i}
+					e.ready = append(e.ready, waiting{e, ref, &e.job.Spec().Steps[n]})
+				}
+			}
+		}
+	})
+	sort.Slice(e.ready, func(i, k int) bool { return lessRef(e.ready[i].ref, e.ready[k].ref) })
+}
+
+func lessRef(a, b workload.TaskRef) bool {
+	switch {
+	case a.K != b.K:
+		return a.K < b.K
+	case a.Step != b.Step:
+		return a.Step < b.Step
+	}
+	return a.Index < b.Index
+}
+
+// stand works out how pressing a job is.
+func (b *Book) stand(now time.Time, e *entry) standing {
+	job := e.job
+	s := standing{priority: job.Policy().Priority, class: classFresh}
+	if e.ready[0].step.Service {
+		s.class, s.latest = classServing, job.Submitted()
+		return s
+	}
+	if job.Begun() {
+		s.class = classBegun
+	}
+	chains := b.learned.chains(job.Queue(), job.Spec())
+	whole := time.Duration(0)
+	for _, c := range chains {
+		whole = max(whole, c)
+	}
+	left := time.Duration(0)
+	first := e.ready[0].ref
+	for _, t := range e.ready {
+		left = max(left, chains[t.ref.Step])
+	}
+	from := job.Submitted()
+	if due := job.Spec().Due(first.K); !due.IsZero() {
+		from = due
+	}
+	p := job.Policy()
+	deadline := from.Add(time.Duration(p.Stretch*float64(whole)) + p.Target)
+	s.latest = deadline.Add(-left)
+	if now.Add(doubtTime + time.Duration(doubtShare*float64(left))).After(s.latest) {
+		s.class = classLate
+	}
+	return s
+}
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -77,14 +77,17 @@
 	for _, id := range req.Soon {
 		b.soon[id] = true
 	}
-	s := Survey{Need: b.need(now)}
-	waiting := b.waiting(now)
-	for _, t := range waiting {
-		room := t.step.Room()
-		s.Waiting = s.Waiting.Plus(room)
-		s.Widest = largest(s.Widest, room)
-	}
-	s.Spread = b.spread(now, waiting)
+	var s Survey
+	for e := range b.hungry {
+		b.refresh(e)
+		for _, t := range e.ready {
+			room := t.step.Room()
+			s.Waiting = s.Waiting.Plus(room)
+			s.Widest = largest(s.Widest, room)
+		}
+	}
+	s.Need = b.need(now, s.Waiting)
+	s.Spread = b.spread(now)
 	for _, w := range b.workers {
 		if w.ended || w.inc.Instance() == "" || !w.listed && len(w.runs) == 0 {
 			continue
@@ -97,16 +100,18 @@
 
 // spread returns how many more instances it takes to hold the waiting tasks whose
 // step bounds how many of them one instance may hold.
-func (b *Book) spread(now time.Time, tasks []waiting) int {
+func (b *Book) spread(now time.Time) int {
 	type group struct {
 		entry   *entry
 		k, step int
 	}
 	crowded := make(map[group]int)
 	workers := b.usable(now)
-	for _, t := range tasks {
-		if t.step.MaxPerInstance > 0 && b.choose(t, workers) == nil {
-			crowded[group{t.entry, t.ref.K, t.ref.Step}]++
+	for e := range b.hungry {
+		for _, t := range e.ready {
+			if t.step.MaxPerInstance > 0 && b.choose(t, workers) == nil {
+				crowded[group{t.entry, t.ref.K, t.ref.Step}]++
+			}
 		}
 	}
 	most := 0
@@ -153,16 +158,13 @@
 
 // need returns the room that the pool's tasks take or want, or what the rate of
 // arrivals will come to if that is more.
-func (b *Book) need(now time.Time) pointport.Shape {
-	var sum pointport.Shape
+func (b *Book) need(now time.Time, waiting pointport.Shape) pointport.Shape {
+	sum := waiting
 	for _, w := range b.workers {
 		for _, r := range w.runs {
 			sum = sum.Plus(r.step().Room())
 		}
 	}
-	for _, t := range b.waiting(now) {
-		sum = sum.Plus(t.step.Room())
-	}
 	coming := b.arrivals.steady(now)
 	coming = coming.Plus(b.servingRoom())
 	return largest(sum, coming)
