Let strong members own pools; write log lines in bulk

Change: members say how strong they are; a pool goes to the one that has least to do for its strength, and is given away when another is far better placed. Log lines go through a sink that never blocks.

--- a/cli/join.go
+++ b/cli/join.go
@@ -51,7 +51,9 @@
 		}
 		work, cancel := context.WithCancel(ctx)
 		defer cancel()
-		n, err := join(work, s, slog.New(slog.NewJSONHandler(os.Stdout, nil)).With(slog.String("node", s.Name)))
+		sink := event.StartSink(os.Stdout)
+		defer sink.Close()
+		n, err := join(work, s, slog.New(slog.NewJSONHandler(sink, nil)).With(slog.String("node", s.Name)))
 		if err != nil {
 			return err
 		}
@@ -85,6 +87,19 @@
 	}
 }
 
+// ownerBandwidth is the bandwidth that the owner of a busy pool wants for each
+// core that it has, in megabits a second.
+const ownerBandwidth = 100
+
+// strength says how much work a process can do: its cores, or fewer if its link
+// is too thin for them.
+func strength(s *platform.Settings) float64 {
+	if s.Bandwidth <= 0 {
+		return s.CPU
+	}
+	return min(s.CPU, s.Bandwidth/ownerBandwidth)
+}
+
 // join starts a node on the services that the settings name.
 func join(ctx context.Context, s *platform.Settings, logger *slog.Logger) (*node.Node, error) {
 	debug.SetGCPercent(garbagePercent)
@@ -114,7 +129,7 @@
 		services.Machines = platform.NewMachines(s.Machines)
 	}
 	n, err := node.Start(ctx, services, node.Parameters{
-		Name: s.Name, Zone: s.Zone,
+		Name: s.Name, Zone: s.Zone, Strength: strength(s),
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace, HolderTime: s.HolderTime,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime},
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -12,6 +12,7 @@
 	Stopping     = define(102, "stopping", slog.LevelInfo, "A planned stop has begun; readiness is off.")
 	Stopped      = define(103, "stopped", slog.LevelInfo, "The process ends; inFlight says how many requests were left.")
 	Reloaded     = define(105, "settings reloaded", slog.LevelInfo, "The settings file was read again; changed lists what differs.")
+	LinesDropped = define(107, "log lines dropped", slog.LevelWarn, "More lines came than could be written; lines says how many are missing.")
 	ReloadFailed = define(106, "settings kept", slog.LevelError, "The settings file cannot be used; the settings stay as they were.")
 	Failed       = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
 )
--- /dev/null
+++ b/event/sink.go
@@ -0,0 +1,96 @@
+package event
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// This file defines the sink: it takes log lines without ever blocking, and
+// writes many of them at once.
+
+const (
+	// sinkBytes bounds the lines that wait to be written. Beyond it lines are
+	// dropped and counted.
+	sinkBytes = 512 << 10
+	// sinkEvery is how long lines wait for others before they are written. Each
+	// write is a system call, and those are dearer than the lines.
+	sinkEvery = 100 * time.Millisecond
+)
+
+// A Sink is a writer of log lines that never blocks its callers. It is safe for
+// concurrent use.
+type Sink struct {
+	out   io.Writer
+	every time.Duration
+
+	mu      sync.Mutex
+	waiting []byte
+	spare   []byte
+	dropped int
+	wake    chan struct{}
+	closed  bool
+	done    chan struct{}
+}
+
+// StartSink returns a sink that writes to out until Close.
+func StartSink(out io.Writer) *Sink {
+	s := &Sink{out: out, every: sinkEvery, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		for range s.wake {
+			time.Sleep(s.every)
+			s.flush()
+		}
+		s.flush()
+	}()
+	return s
+}
+
+// Write takes a line. A line for which there is no room is dropped and counted.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.waiting)+len(line) > sinkBytes {
+		s.dropped++
+		return len(line), nil
+	}
+	s.waiting = append(s.waiting, line...)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// flush writes what waits, and says how many lines were dropped.
+func (s *Sink) flush() {
+	s.mu.Lock()
+	lines, dropped := s.waiting, s.dropped
+	s.waiting, s.dropped = s.spare[:0], 0
+	s.mu.Unlock()
+	if dropped > 0 {
+		lines = fmt.Appendf(lines, `{"level":"WARN","msg":%q,"event":%d,"lines":%d}`+"\n", LinesDropped.Name(), LinesDropped.Number(), dropped)
+	}
+	if len(lines) > 0 {
+		// Nobody is left to tell if the log cannot be written.
+		_, _ = s.out.Write(lines)
+	}
+	s.mu.Lock()
+	s.spare = lines
+	s.mu.Unlock()
+}
+
+// Close writes what waits and takes no more lines.
+func (s *Sink) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	close(s.wake)
+	s.mu.Unlock()
+	<-s.done
+}
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -18,6 +18,9 @@
 	// rankPause is for how long a member leaves a pool without an owner to each
 	// one that ranks before it.
 	rankPause = 60 * time.Millisecond
+	// leastTenure is how long a pool is kept before it is given to a member that
+	// has less to do, so that pools do not wander.
+	leastTenure = 4 * time.Second
 	// keeperTick is how often the keeper looks when nothing changes.
 	keeperTick = 500 * time.Millisecond
 )
@@ -48,6 +51,7 @@
 	mu      sync.Mutex
 	tenants map[string]T
 	orphans map[string]time.Time // since when a pool has had no owner
+	since   map[string]time.Time // since when a pool has had its tenant
 	stopped bool
 }
 
@@ -56,7 +60,7 @@
 func StartKeeper[T Tenant](ctx context.Context, clock pointport.Clock, session *Session, roster *Roster, pools func() []string, start func(Ownership) T, logger *slog.Logger) *Keeper[T] {
 	k := &Keeper[T]{
 		clock: clock, session: session, roster: roster, pools: pools, start: start, logger: logger,
-		tenants: make(map[string]T), orphans: make(map[string]time.Time),
+		tenants: make(map[string]T), orphans: make(map[string]time.Time), since: make(map[string]time.Time),
 	}
 	go func() {
 		for ctx.Err() == nil {
@@ -122,6 +126,9 @@
 		// It is not proven until it is checked.
 		k.begin(k.roster.own(pool, holder.Fence, holder.Revision, time.Time{}))
 		return time.Millisecond
+	case mineToo && now.Sub(k.since[pool]) > leastTenure && k.roster.Outweighed():
+		k.giveAway(ctx, mine)
+		return keeperTick
 	case mineToo:
 		k.check(ctx, mine)
 		return keeperTick
@@ -143,6 +150,15 @@
 	return k.take(ctx, pool)
 }
 
+// giveAway ends a tenant and gives its pool up to a member that has less to do.
+func (k *Keeper[T]) giveAway(ctx context.Context, t T) {
+	t.Stop()
+	<-t.Done()
+	if err := k.roster.Release(ctx, t.Ownership()); err != nil {
+		event.PoolUnproven.Log(k.logger, slog.String("pool", t.Ownership().Pool), slog.Any("error", err))
+	}
+}
+
 // check makes sure that a tenant still owns its pool.
 func (k *Keeper[T]) check(ctx context.Context, t T) {
 	err := k.roster.Check(ctx, t.Ownership())
@@ -175,6 +191,7 @@
 	}
 	event.PoolTaken.Log(k.logger, slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence)))
 	delete(k.orphans, own.Pool)
+	k.since[own.Pool] = k.clock.Now()
 	k.tenants[own.Pool] = k.start(own)
 }
 
--- a/member/roster.go
+++ b/member/roster.go
@@ -34,6 +34,8 @@
 	Name string           `json:"name"`
 	Peer string           `json:"peer"` // host:port for its peers
 	Zone pointport.ZoneID `json:"zone"`
+	// Strength says how much work the member can do, beside others.
+	Strength float64 `json:"strength"`
 }
 
 // An Ownership says that this member owns a pool.
@@ -273,28 +275,77 @@
 }
 
 // Rank returns how many members should take a pool rather than this one: those
-// that own fewer pools, or as many and come first in an order of their own for
-// each pool.
+// that would have less to do for their strength, or as much and come first in an
+// order of their own for each pool.
 func (r *Roster) Rank(pool string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	owned := make(map[string]int)
-	for _, o := range r.owners {
-		owned[o.member.Name]++
-	}
-	mine := weight(pool, r.self.Name)
+	owned := r.owned()
+	mine := load(r.self, owned[r.self.Name]+1)
 	rank := 0
-	for name := range r.members {
+	for name, m := range r.members {
 		if name == r.self.Name {
 			continue
 		}
-		if owned[name] < owned[r.self.Name] || owned[name] == owned[r.self.Name] && weight(pool, name) > mine {
+		theirs := load(m, owned[name]+1)
+		if theirs < mine || theirs == mine && weight(pool, name) > weight(pool, r.self.Name) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// Outweighed reports whether another member would do this one's pools so much
+// better that it is worth giving one away: even with one more, it would have far
+// less to do for its strength.
+func (r *Roster) Outweighed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owned := r.owned()
+	mine := load(r.self, owned[r.self.Name])
+	for name, m := range r.members {
+		if name != r.self.Name && load(m, owned[name]+1)*outweighs <= mine {
+			return true
+		}
+	}
+	return false
+}
+
+// outweighs is how many times less another member must have to do.
+const outweighs = 2.0
+
+// owned returns how many pools each member owns. The lock is held.
+func (r *Roster) owned() map[string]int {
+	owned := make(map[string]int)
+	for _, o := range r.owners {
+		owned[o.member.Name]++
+	}
+	return owned
+}
+
+// load is what a member has to do for its strength with so many pools.
+func load(m Member, pools int) float64 {
+	if m.Strength <= 0 {
+		return float64(pools)
+	}
+	return float64(pools) / m.Strength
+}
+
+// Release gives up an ownership, so that another member can take the pool at
+// once.
+func (r *Roster) Release(ctx context.Context, own Ownership) error {
+	key := OwnerKey(own.Pool)
+	_, err := r.kv.Commit(ctx, pointport.Txn{
+		If:     []pointport.Condition{{Key: key, Revision: own.Revision}},
+		Delete: []string{key},
+	})
+	var conflict *pointport.TxnConflictError
+	if errors.As(err, &conflict) {
+		return nil // it is lost already
+	}
+	return err
+}
+
 // weight orders the members for a pool.
 func weight(pool, name string) uint64 {
 	h := fnv.New64a()
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,8 @@
 	Name      string
 	Zone      pointport.ZoneID
 	Addresses Addresses
+	// Strength says how much work the node can do, beside others.
+	Strength float64
 	// LeaseTTL is how long the node's lease lasts unrenewed.
 	LeaseTTL time.Duration
 	// TaskLease is how far ahead tasks are extended.
@@ -98,7 +100,7 @@
 func Start(ctx context.Context, s Services, p Parameters, logger *slog.Logger) (*Node, error) {
 	n := &Node{services: s, params: p, logger: logger}
 	n.session = member.StartSession(ctx, s.KV, s.Clock, p.LeaseTTL, logger)
-	self := member.Member{Name: p.Name, Peer: p.Addresses.Peers, Zone: p.Zone}
+	self := member.Member{Name: p.Name, Peer: p.Addresses.Peers, Zone: p.Zone, Strength: p.Strength}
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, logger)
 	n.fleet = newFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -37,16 +37,12 @@
 
 // TakeBatch returns what is to be stored now. The book goes on from there; the
 // batch must be stored before the next one is taken.
-func (b *Book) TakeBatch() (Batch, error) {
+func (b *Book) TakeBatch() Batch {
 	batch := Batch{starts: b.decided, acks: make(map[*Worker]int64)}
 	for e := range b.dirty {
 		record := Record{ID: e.job.ID(), Queue: e.job.Queue(), Ended: e.ended}
 		if e.ended == "" {
-			progress, err := e.job.EncodeProgress()
-			if err != nil {
-				return Batch{}, err
-			}
-			record.Progress = progress
+			record.Progress = e.job.EncodeProgress()
 		} else {
 			batch.ended = append(batch.ended, e)
 		}
@@ -59,7 +55,7 @@
 	}
 	clear(b.dirty)
 	b.decided, b.urgent = nil, false
-	return batch, nil
+	return batch
 }
 
 // Stored takes in that a batch is stored at now: what follows from it may be
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -246,11 +246,7 @@
 	if o.writing || !o.book.Pending() && len(o.waiters) == 0 && len(o.removals) == 0 || now.Sub(o.wrote) < o.gap() {
 		return
 	}
-	batch, err := o.book.TakeBatch()
-	if err != nil {
-		event.Failed.Log(o.logger, slog.String("part", "batch"), slog.Any("error", err))
-		return
-	}
+	batch := o.book.TakeBatch()
 	waiters, removals := o.waiters, o.removals
 	o.waiters, o.removals = nil, nil
 	o.writing, o.wrote = true, now
--- a/workload/codec.go
+++ b/workload/codec.go
@@ -3,7 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -59,9 +60,6 @@
 	Task
 }
 
-// MarshalJSON writes the short form.
-func (t taskDoc) MarshalJSON() ([]byte, error) { return t.append(nil), nil }
-
 func (t taskDoc) append(b []byte) []byte {
 	cells := 1
 	switch {
@@ -108,22 +106,51 @@
 	return nil
 }
 
-// EncodeProgress returns the stored form of the job's progress.
-func (j *Job) EncodeProgress() ([]byte, error) {
-	d := progressDocument{Cancelled: j.cancelled, Failed: j.failed, Next: j.next, Over: j.over}
-	for _, o := range j.occurrences {
-		doc := occurrenceDoc{K: o.K, Steps: make([][]taskDoc, len(o.Steps))}
-		for n, step := range o.Steps {
-			row := make([]taskDoc, len(step))
-			for i := range step {
-				row[i] = taskDoc{step[i]}
+// EncodeProgress returns the stored form of the job's progress. It is written
+// many times for each job, so it is put together by hand; RestoreProgress reads
+// it as JSON.
+func (j *Job) EncodeProgress() []byte {
+	b := append(make([]byte, 0, progressBytes), `{"n":`...)
+	b = strconv.AppendInt(b, int64(j.next), 10)
+	if j.over > 0 {
+		b = strconv.AppendInt(append(b, `,"o":`...), int64(j.over), 10)
+	}
+	if j.cancelled {
+		b = append(b, `,"c":true`...)
+	}
+	if j.failed {
+		b = append(b, `,"f":true`...)
+	}
+	b = append(b, `,"k":[`...)
+	for n, k := range slices.Sorted(maps.Keys(j.occurrences)) {
+		if n > 0 {
+			b = append(b, ',')
+		}
+		b = j.occurrences[k].append(b)
+	}
+	return append(b, `]}`...)
+}
+
+// progressBytes is the usual length of a job's progress.
+const progressBytes = 512
+
+func (o *Occurrence) append(b []byte) []byte {
+	b = strconv.AppendInt(append(b, `{"k":`...), int64(o.K), 10)
+	b = append(b, `,"s":[`...)
+	for n, step := range o.Steps {
+		if n > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, '[')
+		for i := range step {
+			if i > 0 {
+				b = append(b, ',')
 			}
-			doc.Steps[n] = row
+			b = taskDoc{step[i]}.append(b)
 		}
-		d.Occurrences = append(d.Occurrences, doc)
+		b = append(b, ']')
 	}
-	sort.Slice(d.Occurrences, func(a, b int) bool { return d.Occurrences[a].K < d.Occurrences[b].K })
-	return json.Marshal(d)
+	return append(b, `]}`...)
 }
 
 // RestoreProgress sets the job's progress from its stored form.
