--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -36,6 +36,8 @@
 type Settings struct {
 	MoveTime   time.Duration // how long a move takes an instance away
 	UpkeepTime time.Duration // how long maintenance takes it away
+	// HolderTime must lie between the orders of two holders of a machine.
+	HolderTime time.Duration
 }
 
 // An Order is to be given to the platform: a move if Pool is set, else
@@ -97,7 +99,14 @@
 	surveys  map[string]survey
 	surveyed map[string]bool
 	listed   time.Time // when the newest list was asked for
-	reserved map[pointport.InstanceID]bool
+	former   map[pointport.InstanceID]FormerOrder
+}
+
+// A FormerOrder is what an earlier planner ordered last about a machine. It is
+// not known whether the order was carried out.
+type FormerOrder struct {
+	At   time.Time
+	Wave int64 // zero for a move
 }
 
 // A survey is how a pool stood at a time.
@@ -117,12 +126,13 @@
 // SetSpare names the spare pool, empty if there is none.
 func (p *Planner) SetSpare(pool string) { p.spare = pool }
 
-// Reserve names the machines about which nothing may be ordered now.
-func (p *Planner) Reserve(ids map[pointport.InstanceID]bool) { p.reserved = ids }
+// SetFormer takes in what earlier planners ordered last.
+func (p *Planner) SetFormer(orders map[pointport.InstanceID]FormerOrder) { p.former = orders }
 
 // free reports whether a machine may be ordered about.
-func (p *Planner) free(m *machine) bool {
-	return m.state == pointport.MachineUp && m.order == nil && !p.reserved[m.id]
+func (p *Planner) free(now time.Time, m *machine) bool {
+	f, ok := p.former[m.id]
+	return m.state == pointport.MachineUp && m.order == nil && !(ok && now.Sub(f.At) < p.settings.HolderTime)
 }
 
 // SetMachines takes in the platform's list, which was asked for at asked.
@@ -234,7 +244,7 @@
 			wp.Ordered = append(wp.Ordered, m)
 		}
 		sort.Slice(wp.Ordered, func(i, k int) bool { return wp.Ordered[i] < wp.Ordered[k] })
-		wp.Completed = len(p.machines) > 0 && len(w.left(p.machines)) == 0 && w.away(now, p.settings.UpkeepTime, p.machines) == 0
+		wp.Completed = len(p.machines) > 0 && len(w.left(p.machines)) == 0 && p.away(now, w) == 0
 		out = append(out, wp)
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].Wave < out[k].Wave })
@@ -452,7 +462,7 @@
 func (p *Planner) spares(now time.Time) []*machine {
 	var out []*machine
 	for _, m := range p.machines {
-		if p.spare != "" && m.pool == p.spare && p.free(m) {
+		if p.spare != "" && m.pool == p.spare && p.free(now, m) {
 			out = append(out, m)
 		}
 	}
@@ -490,7 +500,7 @@
 			if m.load.Serving > 0 {
 				inUse++
 			}
-			if p.free(m) && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
+			if p.free(now, m) && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
 				s.idle = append(s.idle, m)
 			}
 		}
--- a/capacity/wave.go
+++ b/capacity/wave.go
@@ -55,24 +55,26 @@
 	return out
 }
 
-// away returns how many machines are away for the wave.
-func (w *waveState) away(now time.Time, upkeep time.Duration, exists map[pointport.InstanceID]*machine) int {
-	n := 0
+// away returns how many machines are away for a wave, or may be.
+func (p *Planner) away(now time.Time, w *waveState) int {
+	away := make(map[pointport.InstanceID]bool)
 	for id, at := range w.ordered {
-		m := exists[id]
-		back := now.Sub(at) > upkeep+upkeepSlack && (m == nil || m.state != pointport.MachineMaintenance)
-		if !back {
-			n++
+		m := p.machines[id]
+		if now.Sub(at) <= p.settings.UpkeepTime+upkeepSlack || m != nil && m.state == pointport.MachineMaintenance {
+			away[id] = true
 		}
 	}
-	for id, m := range exists {
+	for id, m := range p.machines {
 		if m.order != nil && m.order.Wave == w.wave.ID {
-			if _, counted := w.ordered[id]; !counted {
-				n++ // ordered, without an answer yet
-			}
+			away[id] = true // ordered, without an answer yet or not back
 		}
 	}
-	return n
+	for id, f := range p.former {
+		if f.Wave == w.wave.ID && now.Sub(f.At) <= p.settings.UpkeepTime+upkeepSlack {
+			away[id] = true // ordered by an earlier planner, who knows with what outcome
+		}
+	}
+	return len(away)
 }
 
 // planWave decides about one wave.
@@ -81,7 +83,7 @@
 	if len(left) == 0 {
 		return
 	}
-	slots := w.wave.Bound - w.away(now, p.settings.UpkeepTime, p.machines)
+	slots := w.wave.Bound - p.away(now, w)
 	spent := float64(now.Sub(w.begun)) / float64(w.wave.Duration)
 	rounds := (len(left) + w.wave.Bound - 1) / max(1, w.wave.Bound)
 	needed := time.Duration(rounds) * (p.settings.UpkeepTime + upkeepSlack + emptyTime)
@@ -92,7 +94,7 @@
 		if slots <= 0 {
 			return
 		}
-		if !p.free(m) || m.load.Leaving {
+		if !p.free(now, m) || m.load.Leaving {
 			continue
 		}
 		if p.maintainable(m, force) {
--- a/steward/journal.go
+++ b/steward/journal.go
@@ -19,6 +19,10 @@
 // journalKey is the key of the journal in the store.
 const journalKey = "journal" + Post
 
+// keepRests is for how many times the least time between two holders an order is
+// kept in the journal.
+const keepRests = 2
+
 // clockSkew is by how much the times of day of two members may differ.
 const clockSkew = 500 * time.Millisecond
 
@@ -27,9 +31,14 @@
 type journalDocument struct {
 	// Fence is the steward's that wrote it.
 	Fence pointport.Fence `json:"fence"`
-	// Ordered says when each machine was ordered last, in milliseconds since
-	// 1970; machines that were not ordered lately are left out.
-	Ordered map[pointport.InstanceID]int64 `json:"ordered"`
+	// Ordered holds the last order about each machine; machines that were not
+	// ordered about lately are left out.
+	Ordered map[pointport.InstanceID]journalEntry `json:"ordered"`
+}
+
+type journalEntry struct {
+	At   int64 `json:"at"` // milliseconds since 1970
+	Wave int64 `json:"wave,omitempty"`
 }
 
 // A journal keeps when machines were ordered. It is not safe for concurrent use.
@@ -39,14 +48,14 @@
 	rest time.Duration // that must lie between two holders' orders
 	doc  journalDocument
 	// former holds the orders of earlier stewards.
-	former map[pointport.InstanceID]time.Time
+	former map[pointport.InstanceID]capacity.FormerOrder
 	opened bool
 }
 
 func newJournal(kv pointport.KV, own member.Ownership, rest time.Duration) *journal {
 	return &journal{
-		kv: kv, own: own, rest: rest, former: make(map[pointport.InstanceID]time.Time),
-		doc: journalDocument{Fence: own.Fence, Ordered: make(map[pointport.InstanceID]int64)},
+		kv: kv, own: own, rest: rest, former: make(map[pointport.InstanceID]capacity.FormerOrder),
+		doc: journalDocument{Fence: own.Fence, Ordered: make(map[pointport.InstanceID]journalEntry)},
 	}
 }
 
@@ -64,35 +73,25 @@
 		if err := json.Unmarshal(e.Value(), &doc); err != nil {
 			return fmt.Errorf("%s: %w", journalKey, err)
 		}
-		for id, at := range doc.Ordered {
-			j.former[id] = time.UnixMilli(at)
-			j.doc.Ordered[id] = at
+		for id, o := range doc.Ordered {
+			// The writer's clock may be behind.
+			j.former[id] = capacity.FormerOrder{At: time.UnixMilli(o.At).Add(clockSkew), Wave: o.Wave}
+			j.doc.Ordered[id] = o
 		}
 	}
 	j.opened = true
 	return nil
 }
 
-// reserved returns the machines that must be left alone for now.
-func (j *journal) reserved(now time.Time) map[pointport.InstanceID]bool {
-	out := make(map[pointport.InstanceID]bool)
-	for id, at := range j.former {
-		if now.Sub(at) < j.rest+clockSkew {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // add writes that machines are about to be ordered.
 func (j *journal) add(ctx context.Context, now time.Time, orders []capacity.Order) error {
-	for id, at := range j.doc.Ordered {
-		if now.Sub(time.UnixMilli(at)) > 2*j.rest {
+	for id, o := range j.doc.Ordered {
+		if now.Sub(time.UnixMilli(o.At)) > keepRests*j.rest {
 			delete(j.doc.Ordered, id)
 		}
 	}
 	for _, o := range orders {
-		j.doc.Ordered[o.Machine] = now.UnixMilli()
+		j.doc.Ordered[o.Machine] = journalEntry{At: now.UnixMilli(), Wave: o.Wave}
 	}
 	value, err := json.Marshal(j.doc)
 	if err != nil {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -119,6 +119,7 @@
 // steward.
 func Start(ctx context.Context, s Services, settings Settings, own member.Ownership, logger *slog.Logger) *Steward {
 	ctx, cancel := context.WithCancel(ctx)
+	settings.Planner.HolderTime = settings.HolderTime + turnSlack
 	st := &Steward{
 		services: s, settings: settings, own: own, cancel: cancel, done: make(chan struct{}),
 		logger:  logger.With(slog.Int64("fence", int64(own.Fence))),
@@ -188,7 +189,7 @@
 		event.PlanFailed.Log(s.logger, slog.String("part", "journal"), slog.Any("error", err))
 		return roundEvery
 	}
-	s.planner.Reserve(s.journal.reserved(now))
+	s.planner.SetFormer(s.journal.former)
 	d := s.planner.Decide(now)
 	s.closures, s.soon = d.Closures, d.Soon
 	s.logSizes(d.Sizes)
