--- a/schedule/book.go
+++ b/schedule/book.go
@@ -533,6 +533,7 @@
 func (b *Book) abandon(now time.Time, w *Worker) {
 	for _, r := range w.runs {
 		if r.step().Copies && !r.step().Gang && r.state != runDecided {
+			w.burn(r)
 			b.drop(now, r)
 		}
 	}
@@ -573,6 +574,9 @@
 	for id, w := range b.workers {
 		if len(w.runs) > 0 && now.After(w.expires) && (w.silent || w.heard.IsZero()) {
 			event.WorkerExpired.Log(b.logger, slog.String("incarnation", string(id)), slog.Int("runs", len(w.runs)))
+			for _, r := range w.runs {
+				w.burn(r)
+			}
 			b.dropAll(w, now)
 		}
 		if len(w.runs) == 0 && !w.listed && (w.ended || now.After(w.expires)) {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -62,6 +62,10 @@
 		w.answered(now, clock)
 	}
 	b.checkFence(err)
+	var rejected *pointport.RejectedError
+	if o.Kind == OrderStop && w.burns[o.TaskRun] && (err == nil || errors.As(err, &rejected)) {
+		delete(w.burns, o.TaskRun)
+	}
 	r := o.Run
 	if r == nil || w.runs[r.name] != r {
 		return
@@ -157,6 +161,31 @@
 	b.looks[r.worker] = struct{}{}
 }
 
+// burn notes that a run on a worker is given up although its start may still be
+// under way.
+func (w *Worker) burn(r *Run) {
+	if r.state != runSent && r.unanswered == 0 {
+		return
+	}
+	if w.burns == nil {
+		w.burns = make(map[pointport.TaskRun]bool)
+	}
+	w.burns[r.TaskRun()] = true
+}
+
+// ruleOut stops the runs that were given up on workers that answer again.
+func (b *Book) ruleOut(now time.Time) {
+	for _, w := range b.workers {
+		if len(w.burns) == 0 || w.silent || w.ended || now.Before(w.burnAt) {
+			continue
+		}
+		w.burnAt = now.Add(startAgain)
+		for run := range w.burns {
+			b.sends = append(b.sends, Order{Kind: OrderStop, Worker: w, TaskRun: run})
+		}
+	}
+}
+
 // repeatOrders orders runs again to start or to stop that have not.
 func (b *Book) repeatOrders(now time.Time) {
 	for _, w := range b.workers {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -16,6 +16,7 @@
 // Plan decides what to do at now.
 func (b *Book) Plan(now time.Time) {
 	b.sweep(now)
+	b.ruleOut(now)
 	b.repeatOrders(now)
 	b.begin(now)
 	b.relocate(now)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -61,6 +61,13 @@
 	// strays is how many runs the instance has that no task is placed as. Their
 	// room is not known, so nothing is placed until they are gone.
 	strays int
+	// burns holds runs that were given up although a start order had got no
+	// answer and may still be under way. The instance would take it as long as its
+	// time is extended, so each is stopped, which rules it out, before anything is
+	// extended or placed there again.
+	burns map[pointport.TaskRun]bool
+	// burnAt is when they may be stopped again.
+	burnAt time.Time
 	// paced is when the pace of tasks there was last changed.
 	paced  time.Time
 	health health
@@ -91,7 +98,7 @@
 // is not known, and nothing later than before while the instance is silent: it
 // may hear what it does not answer, and its tasks would never expire.
 func (w *Worker) Until(now time.Time, lease time.Duration) pointport.InstanceClock {
-	if w.heard.IsZero() || w.silent {
+	if w.heard.IsZero() || w.silent || len(w.burns) > 0 {
 		return w.until
 	}
 	until := w.clock + pointport.InstanceClock(now.Sub(w.heard)+lease)
@@ -120,7 +127,7 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *Worker) usable(now time.Time) bool {
-	return w.listed && !w.ended && !w.silent && w.strays == 0 && !w.heard.IsZero() &&
+	return w.listed && !w.ended && !w.silent && w.strays == 0 && len(w.burns) == 0 && !w.heard.IsZero() &&
 		!w.inc.Draining() && !now.Before(w.fullUntil) && !w.closed(now) && !w.health.avoided(now)
 }
 
