--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -1,7 +1,9 @@
 package capacity
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -78,6 +80,7 @@
 	pool     string
 	state    pointport.MachineState
 	zone     pointport.ZoneID
+	labels   []string
 	capacity pointport.Shape
 	life     pointport.IncarnationID
 	since    time.Time // when it was first seen in its pool
@@ -152,7 +155,7 @@
 			m.pool, m.since, m.idle = l.Pool, asked, time.Time{}
 			m.load = schedule.InstanceLoad{}
 		}
-		m.state, m.zone, m.capacity, m.life = l.State, l.Zone, l.Capacity, l.Incarnation
+		m.state, m.zone, m.labels, m.capacity, m.life = l.State, l.Zone, l.Labels, l.Capacity, l.Incarnation
 		p.settleOrder(m, asked)
 	}
 	for id := range p.machines {
@@ -383,12 +386,14 @@
 	sort.SliceStable(sizes, func(i, k int) bool {
 		return sizes[i].want-sizes[i].have > sizes[k].want-sizes[k].have
 	})
+	for i := range sizes {
+		p.supplyLabels(now, d, &sizes[i], sizes, &spare)
+	}
 	for i := range sizes {
 		for sizes[i].have < sizes[i].want {
-			if !p.supply(now, d, &sizes[i], sizes, &spare) {
+			if !p.supply(now, d, &sizes[i], sizes, &spare, "") {
 				break
 			}
-			sizes[i].have++
 		}
 	}
 	for i := range sizes {
@@ -396,47 +401,96 @@
 	}
 }
 
-// supply finds one more instance for a pool: one that another pool has had no
-// use for, a spare one, or one that another pool can do without.
-func (p *Planner) supply(now time.Time, d *Decision, to *size, sizes []size, spare *[]*machine) bool {
-	if from := lender(now, to, sizes, lendTime); from != nil {
-		return p.lend(now, d, from, to)
+// supplyLabels brings in instances with the labels that a pool's tasks want and
+// do not find.
+func (p *Planner) supplyLabels(now time.Time, d *Decision, to *size, sizes []size, spare *[]*machine) {
+	wants := p.surveys[to.pool].Labels
+	labels := slices.Sorted(maps.Keys(wants))
+	for _, label := range labels {
+		missing := instancesFor(wants[label], p.room(), max(1, len(p.machines))) - p.coming(now, to.pool, label)
+		for range missing {
+			if !p.supply(now, d, to, sizes, spare, label) {
+				break
+			}
+		}
+	}
+}
+
+// room returns the capacity of all machines together.
+func (p *Planner) room() pointport.Shape {
+	var sum pointport.Shape
+	for _, m := range p.machines {
+		sum = sum.Plus(m.capacity)
+	}
+	return sum
+}
+
+// coming returns how many instances with a label are on their way to a pool, or
+// have just come or are idle there.
+func (p *Planner) coming(now time.Time, pool, label string) int {
+	n := 0
+	for _, m := range p.machines {
+		if !m.has(label) {
+			continue
+		}
+		switch {
+		case m.order != nil && m.order.Pool != "":
+			if m.order.Pool == pool {
+				n++
+			}
+		case m.pool == pool && (now.Sub(m.since) < settleTime || !m.idle.IsZero()):
+			n++
+		}
 	}
-	if len(*spare) > 0 {
-		m := (*spare)[0]
-		*spare = (*spare)[1:]
-		p.order(now, d, m, Order{Machine: m.id, Pool: to.pool, Reason: "needed"})
+	return n
+}
+
+// has reports whether a machine has a label; an empty one is had by all.
+func (m *machine) has(label string) bool {
+	return label == "" || slices.Contains(m.labels, label)
+}
+
+// supply finds one more instance with a label for a pool: one that another pool
+// has had no use for, a spare one, or one that another pool can do without.
+func (p *Planner) supply(now time.Time, d *Decision, to *size, sizes []size, spare *[]*machine, label string) bool {
+	if p.lend(now, d, to, sizes, lendTime, label) {
 		return true
 	}
-	if from := lender(now, to, sizes, 0); from != nil {
-		return p.lend(now, d, from, to)
+	for n, m := range *spare {
+		if m.has(label) {
+			*spare = slices.Delete(slices.Clone(*spare), n, n+1)
+			p.order(now, d, m, Order{Machine: m.id, Pool: to.pool, Reason: "needed"})
+			to.have++
+			return true
+		}
 	}
-	return false
+	return p.lend(now, d, to, sizes, 0, label)
 }
 
-// lender returns the pool with the most instances too many, one of which has
-// been idle for some time.
-func lender(now time.Time, to *size, sizes []size, idleFor time.Duration) *size {
-	var best *size
+// lend takes an instance with a label, which has been idle for some time, from
+// the pool that has the most too many. It is closed first, and moved once it is.
+func (p *Planner) lend(now time.Time, d *Decision, to *size, sizes []size, idleFor time.Duration, label string) bool {
+	var from *size
+	var lent *machine
 	for i := range sizes {
 		s := &sizes[i]
-		if s.pool == to.pool || s.have <= s.want || len(s.idle) == 0 || now.Sub(s.idle[0].idle) < idleFor {
+		if s.pool == to.pool || s.have <= s.want || from != nil && s.have-s.want <= from.have-from.want {
 			continue
 		}
-		if best == nil || s.have-s.want > best.have-best.want {
-			best = s
+		for _, m := range s.idle {
+			if m.has(label) && now.Sub(m.idle) >= idleFor {
+				from, lent = s, m
+				break
+			}
 		}
 	}
-	return best
-}
-
-// lend closes an instance that is to go to another pool, and moves it once it is
-// closed.
-func (p *Planner) lend(now time.Time, d *Decision, from, to *size) bool {
-	m := from.idle[0]
-	from.idle = from.idle[1:]
+	if from == nil {
+		return false
+	}
+	from.idle = slices.DeleteFunc(slices.Clone(from.idle), func(m *machine) bool { return m == lent })
 	from.have--
-	p.release(now, d, m, to.pool, "needed there more")
+	to.have++
+	p.release(now, d, lent, to.pool, "needed there more")
 	return true
 }
 
@@ -487,10 +541,9 @@
 
 func (p *Planner) sizeOf(now time.Time, pool string) size {
 	s := size{pool: pool}
-	var room pointport.Shape
+	room := p.room()
 	inUse := 0
 	for _, m := range p.machines {
-		room = room.Plus(m.capacity)
 		switch {
 		case m.order != nil && m.order.Pool != "":
 			if m.order.Pool == pool {
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -70,6 +70,7 @@
 
 	learned  *estimates
 	arrivals arrivals
+	far      farRooms
 	dirty    map[*entry]struct{}
 	// hungry holds the jobs that may have tasks whose turn has come, recurring
 	// those of which further occurrences are due.
@@ -271,7 +272,11 @@
 
 // drop removes a run that has ended, or never started, and puts its task back.
 func (b *Book) drop(now time.Time, r *Run) {
+	detached := r.detached()
 	b.forget(r)
+	if detached {
+		return
+	}
 	if t := r.task(); t != nil && t.Phase == workload.Placed && t.Run == r.number {
 		r.entry.job.Return(r.ref)
 		b.touch(r.entry, false)
@@ -282,6 +287,17 @@
 	b.settleJob(now, r.entry)
 }
 
+// detach takes a run from its job. It stays on its worker, and takes its room
+// there, until it is known to have ended.
+func (b *Book) detach(r *Run) {
+	if r.entry.runs[r.ref] == r {
+		delete(r.entry.runs, r.ref)
+	}
+}
+
+// detached reports whether a run's job has no use for it any more.
+func (r *Run) detached() bool { return r.entry.runs[r.ref] != r }
+
 // forget removes a run from its job and its worker.
 func (b *Book) forget(r *Run) {
 	r.worker.drop(r)
@@ -334,6 +350,7 @@
 		return
 	}
 	w.answered(now, report.Clock)
+	w.silent = false
 	for _, end := range report.Ended {
 		b.taskEnded(w, now, end)
 	}
@@ -354,6 +371,10 @@
 			continue
 		}
 		b.live(r, now)
+		if r.detached() {
+			b.stop(now, r, "its job has no use for it any more")
+			continue
+		}
 		r.load = row.Load
 		if row.Progress != r.progress || r.movedAt.IsZero() {
 			r.progress, r.movedAt = row.Progress, now
@@ -425,6 +446,11 @@
 	event.RunEnded.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(w.inc.ID())), slog.String("how", string(end.Kind)),
 		slog.Duration("after", now.Sub(r.placedAt)))
+	if r.detached() {
+		b.forget(r)
+		b.copyEnded(now, end)
+		return
+	}
 	if t := r.task(); t != nil && end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
 	}
@@ -455,7 +481,7 @@
 	}
 	if other := e.runs[ref]; other != nil {
 		b.stop(now, other, "a copy of it has ended")
-		b.forget(other)
+		b.detach(other)
 	}
 	stepDone := e.job.Finish(ref)
 	b.touch(e, stepDone)
@@ -532,9 +558,10 @@
 // each other, so that they need not wait until the worker expires.
 func (b *Book) abandon(now time.Time, w *Worker) {
 	for _, r := range w.runs {
-		if r.step().Copies && !r.step().Gang && r.state != runDecided {
-			w.burn(r)
-			b.drop(now, r)
+		if r.step().Copies && !r.step().Gang && r.state != runDecided && r.entry.runs[r.ref] == r {
+			b.detach(r)
+			r.entry.job.Return(r.ref)
+			b.touch(r.entry, true)
 		}
 	}
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -281,6 +281,9 @@
 	t.entry.job.Place(t.ref, w.inc.ID(), number)
 	r := b.newRun(now, t.entry, t.ref, w, number, runDecided)
 	r.ticket = b.ticketFor(t, w)
+	if rack := t.step.DataRack; rack != "" && w.inc.Rack() != rack {
+		b.far.add(now, rack, t.step.Room())
+	}
 	b.decided = append(b.decided, r)
 	b.touch(t.entry, true)
 	event.TaskPlaced.Log(b.logger, slog.String("task", r.name), slog.Int("run", number),
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -42,6 +42,9 @@
 	// Spread is how many more instances it takes to hold the tasks whose step
 	// bounds how many of them one instance may hold.
 	Spread int `json:"spread,omitempty"`
+	// Labels says for labels, a rack's among them, how much room is wanted on
+	// instances that have them and found none there.
+	Labels map[string]pointport.Shape `json:"labels,omitempty"`
 	// Widest is the largest room of a single waiting task.
 	Widest    pointport.Shape `json:"widest"`
 	Instances []InstanceLoad  `json:"instances"`
@@ -83,9 +86,15 @@
 		for _, t := range e.ready {
 			room := t.step.Room()
 			s.Waiting = s.Waiting.Plus(room)
+			if label := t.step.Label; label != "" {
+				s.want(label, room)
+			}
 			s.Widest = largest(s.Widest, room)
 		}
 	}
+	for rack, room := range b.far.steady(now) {
+		s.want(rack, room)
+	}
 	s.Need = b.need(now, s.Waiting)
 	s.Spread = b.spread(now)
 	for _, w := range b.workers {
@@ -98,6 +107,14 @@
 	return s
 }
 
+// want adds to the room that is wanted on instances with a label.
+func (s *Survey) want(label string, room pointport.Shape) {
+	if s.Labels == nil {
+		s.Labels = make(map[string]pointport.Shape)
+	}
+	s.Labels[label] = s.Labels[label].Plus(room)
+}
+
 // spread returns how many more instances it takes to hold the waiting tasks whose
 // step bounds how many of them one instance may hold.
 func (b *Book) spread(now time.Time) int {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -115,9 +115,9 @@
 	w.expires = w.heard.Add(time.Duration(float64(left)*slowClock) + lapseSlack)
 }
 
-// answered takes in that an answer came at now that showed clock.
+// answered takes in that an answer came at now that showed clock. Only a report
+// ends a silence: what an instance runs after one is not known before.
 func (w *Worker) answered(now time.Time, clock pointport.InstanceClock) {
-	w.silent = false
 	if clock < w.clock {
 		return // an answer that was passed by a newer one
 	}
