--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -474,7 +474,7 @@
 	var lent *machine
 	for i := range sizes {
 		s := &sizes[i]
-		if s.pool == to.pool || s.have <= s.want || from != nil && s.have-s.want <= from.have-from.want {
+		if s.pool == to.pool || s.have <= max(s.want, leastInstances) || from != nil && s.have-s.want <= from.have-from.want {
 			continue
 		}
 		for _, m := range s.idle {
@@ -507,7 +507,7 @@
 	if p.spare == "" {
 		return
 	}
-	for s.have > s.want && len(s.idle) > 0 && now.Sub(s.idle[0].idle) >= idleTime {
+	for s.have > max(s.want, leastInstances) && len(s.idle) > 0 && now.Sub(s.idle[0].idle) >= idleTime {
 		m := s.idle[0]
 		s.idle = s.idle[1:]
 		s.have--
@@ -543,7 +543,9 @@
 	s := size{pool: pool}
 	room := p.room()
 	inUse := 0
+	anywhere := false // whether the pool has any machine, in whatever state
 	for _, m := range p.machines {
+		anywhere = anywhere || m.pool == pool && m.order == nil
 		switch {
 		case m.order != nil && m.order.Pool != "":
 			if m.order.Pool == pool {
@@ -563,7 +565,10 @@
 	}
 	n := max(1, len(p.machines))
 	need := p.surveys[pool].Need
-	s.want = max(inUse, leastInstances, instancesFor(need, room, n))
+	s.want = max(inUse, instancesFor(need, room, n))
+	if !anywhere {
+		s.want = max(s.want, leastInstances)
+	}
 	if spread := p.surveys[pool].Spread; spread > 0 {
 		s.want = max(s.want, s.have+spread)
 	}
--- a/schedule/gang.go
+++ b/schedule/gang.go
@@ -191,7 +191,7 @@
 	left := len(tasks)
 	for _, w := range byFree {
 		fits := 0
-		for all := w.inc.Capacity(); all.Fits(room) && fits < left; all = all.Minus(room) {
+		for all := w.soonFree(); all.Fits(room) && fits < left; all = all.Minus(room) {
 			fits++
 			if step.MaxPerInstance > 0 && fits >= step.MaxPerInstance {
 				break
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -145,7 +145,7 @@
 func (p *placement) reserve(t waiting) {
 	best := -1
 	for i, w := range p.workers {
-		if !p.book.permits(t, w, p.now) || p.book.crowded(t, w) || !w.inc.Capacity().Fits(t.step.Room()) {
+		if !p.book.permits(t, w, p.now) || p.book.crowded(t, w) || !w.soonFree().Fits(t.step.Room()) {
 			continue
 		}
 		if best < 0 || w.free.CPUMilli > p.workers[best].free.CPUMilli {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -152,6 +152,18 @@
 	w.free = w.free.Plus(r.step().Room())
 }
 
+// soonFree returns what is left of the capacity once the runs have ended that end
+// by themselves.
+func (w *Worker) soonFree() pointport.Shape {
+	free := w.free
+	for _, r := range w.runs {
+		if !r.step().Service {
+			free = free.Plus(r.step().Room())
+		}
+	}
+	return free
+}
+
 // hasLabel reports whether the instance has a label; an empty one is had by all.
 func (w *Worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.inc.Labels(), label)
