--- a/peer/peer.go
+++ b/peer/peer.go
@@ -43,6 +43,7 @@
 	statusPath    = "/peer/status"
 	waitingPath   = "/peer/waiting"
 	surveyPath    = "/peer/survey"
+	explainPath   = "/peer/explain"
 )
 
 // A question names what it is about. Its fields are exported because a codec
@@ -64,6 +65,8 @@
 	Status workload.Status `json:"status,omitempty"`
 	Count  int             `json:"count,omitempty"`
 	Survey schedule.Survey `json:"survey,omitzero"`
+	// Explanation says how a job stands and why.
+	Explanation schedule.Explanation `json:"explanation,omitzero"`
 }
 
 // ErrNoOwner says that no owner of a pool is known.
@@ -164,6 +167,15 @@
 	return r.Survey, err
 }
 
+// Explain asks a pool's owner how a job stands and why.
+func (o *Owners) Explain(ctx context.Context, pool, id string) (schedule.Explanation, bool, error) {
+	if local, ok := o.keeper.Tenant(pool); ok {
+		return local.Explain(ctx, id)
+	}
+	r, err := o.ask(ctx, explainPath, question{Pool: pool, Job: id})
+	return r.Explanation, r.Known, err
+}
+
 // Handler returns the other end: it answers for the owners that keeper runs.
 func Handler(keeper *member.Keeper[*shard.Owner], logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
@@ -205,6 +217,10 @@
 		n, err := o.Waiting(ctx, q.Queue)
 		return reply{Count: n}, err
 	})
+	handle(explainPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
+		x, known, err := o.Explain(ctx, q.Job)
+		return reply{Known: known, Explanation: x}, err
+	})
 	handle(surveyPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
 		if q.Survey == nil {
 			return reply{}, errors.New("survey: missing")
--- /dev/null
+++ b/schedule/explain.go
@@ -0,0 +1,151 @@
+package schedule
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file defines how it is explained why a task runs where it does, or what it
+// waits for.
+
+// An Explanation says how a job stands and why. Its fields are exported because
+// a codec reads and writes them.
+type Explanation struct {
+	Job    string          `json:"job"`
+	Queue  string          `json:"queue"`
+	Status workload.Status `json:"status"`
+	// Latest is when the job's next tasks must start for it to end in time.
+	Latest time.Time         `json:"latest,omitzero"`
+	Late   bool              `json:"late,omitempty"`
+	Steps  []StepExplanation `json:"steps,omitempty"`
+}
+
+// A StepExplanation says how a step of one occurrence stands.
+type StepExplanation struct {
+	Occurrence int `json:"occurrence,omitempty"`
+	Step       int `json:"step"`
+	Tasks      int `json:"tasks"`
+	Done       int `json:"done"`
+	// Running says where tasks run, by incarnation.
+	Running map[pointport.IncarnationID]int `json:"running,omitempty"`
+	// Waits says what the other tasks wait for, empty if there are none.
+	Waits string `json:"waits,omitempty"`
+}
+
+// Explain says how a job stands and why; false if the book does not know it.
+func (b *Book) Explain(now time.Time, id string) (Explanation, bool) {
+	if f, ok := b.over[id]; ok {
+		return Explanation{Job: id, Status: f.status}, true
+	}
+	e, ok := b.jobs[id]
+	if !ok {
+		return Explanation{}, false
+	}
+	x := Explanation{Job: id, Queue: e.job.Queue(), Status: e.job.Status()}
+	b.refresh(e)
+	if len(e.ready) > 0 {
+		s := b.stand(now, e)
+		x.Latest, x.Late = s.latest, s.class == classLate
+	}
+	e.job.Occurrences(func(o *workload.Occurrence) {
+		for n := range o.Steps {
+			x.Steps = append(x.Steps, b.explainStep(now, e, o, n))
+		}
+	})
+	sort.Slice(x.Steps, func(i, k int) bool {
+		a, c := x.Steps[i], x.Steps[k]
+		return a.Occurrence < c.Occurrence || a.Occurrence == c.Occurrence && a.Step < c.Step
+	})
+	return x, true
+}
+
+func (b *Book) explainStep(now time.Time, e *entry, o *workload.Occurrence, n int) StepExplanation {
+	x := StepExplanation{Occurrence: o.K, Step: n, Tasks: len(o.Steps[n]), Done: len(o.Steps[n]) - o.Left(n)}
+	pending := 0
+	for i, t := range o.Steps[n] {
+		switch t.Phase {
+		case workload.Pending:
+			pending++
+		case workload.Placed:
+			if x.Running == nil {
+				x.Running = make(map[pointport.IncarnationID]int)
+			}
+			x.Running[o.Steps[n][i].On]++
+		}
+	}
+	switch {
+	case pending == 0:
+	case e.job.Stopping():
+		x.Waits = "nothing: the job is over"
+	case !e.job.Ready(o, n):
+		x.Waits = fmt.Sprintf("%d tasks wait for earlier steps", pending)
+	default:
+		x.Waits = b.explainWait(now, waiting{e, workload.TaskRef{K: o.K, Step: n}, &e.job.Spec().Steps[n]}, pending)
+	}
+	return x
+}
+
+// explainWait says what tasks wait for whose turn has come.
+func (b *Book) explainWait(now time.Time, t waiting, tasks int) string {
+	workers := b.usable(now)
+	labelled, permitted, roomy, open := 0, 0, 0, 0
+	var most pointport.Shape
+	for _, w := range workers {
+		if !w.hasLabel(t.step.Label) {
+			continue
+		}
+		labelled++
+		if !b.permits(t, w, now) {
+			continue
+		}
+		permitted++
+		most = largest(most, w.free)
+		if !w.free.Fits(t.step.Room()) {
+			continue
+		}
+		roomy++
+		if !b.crowded(t, w) {
+			open++
+		}
+	}
+	need := t.step.Room()
+	switch {
+	case len(workers) == 0:
+		return fmt.Sprintf("%d tasks wait: no instance of the pool can be used%s", tasks, b.explainBarred(now))
+	case labelled == 0:
+		return fmt.Sprintf("%d tasks wait: none of %d instances has the label %q", tasks, len(workers), t.step.Label)
+	case permitted == 0:
+		return fmt.Sprintf("%d tasks wait: the advisor has permitted none of %d instances yet", tasks, labelled)
+	case roomy == 0:
+		return fmt.Sprintf("%d tasks wait: each needs %d thousandths of a core and %d MiB; %d instances have at most %d and %d free%s",
+			tasks, need.CPUMilli, need.MemoryMiB, permitted, most.CPUMilli, most.MemoryMiB, b.explainBarred(now))
+	case open == 0:
+		return fmt.Sprintf("%d tasks wait: %d instances with room hold %d of the step already", tasks, roomy, t.step.MaxPerInstance)
+	case t.step.Gang:
+		return fmt.Sprintf("%d tasks of a gang wait to fit all at once; %d instances have room for one", tasks, open)
+	case t.step.DataRack != "" && b.waitsForRack(now, t):
+		return fmt.Sprintf("%d tasks wait for room in rack %s, where their data is", tasks, t.step.DataRack)
+	}
+	return fmt.Sprintf("%d tasks wait for the next plan, or for more pressing jobs; %d instances have room", tasks, open)
+}
+
+// explainBarred says why instances of the pool cannot be used.
+func (b *Book) explainBarred(now time.Time) string {
+	reasons := make(map[string]int)
+	for _, w := range b.workers {
+		if reason := w.barred(now); reason != "" {
+			reasons[reason]++
+		}
+	}
+	out := ""
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		out += fmt.Sprintf("; %d %s", reasons[reason], reason)
+	}
+	return out
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -126,9 +126,31 @@
 }
 
 // usable reports whether new tasks may be placed on the worker.
-func (w *Worker) usable(now time.Time) bool {
-	return w.listed && !w.ended && !w.silent && w.strays == 0 && len(w.burns) == 0 && !w.heard.IsZero() &&
-		!w.inc.Draining() && !now.Before(w.fullUntil) && !w.closed(now) && !w.health.avoided(now)
+func (w *Worker) usable(now time.Time) bool { return w.barred(now) == "" }
+
+// barred says why nothing may be placed on the worker, empty if something may.
+func (w *Worker) barred(now time.Time) string {
+	switch {
+	case !w.listed:
+		return "not registered"
+	case w.ended:
+		return "over"
+	case w.heard.IsZero(), w.silent:
+		return "silent"
+	case w.inc.Draining():
+		return "leaving"
+	case w.closed(now):
+		return "closed for a move or for maintenance"
+	case w.strays > 0:
+		return "running what it should not"
+	case len(w.burns) > 0:
+		return "being asked to forget starts"
+	case now.Before(w.fullUntil):
+		return "refusing starts"
+	case w.health.avoided(now):
+		return "avoided for its failures"
+	}
+	return ""
 }
 
 // take adds a run and takes its room.
--- a/shard/load.go
+++ b/shard/load.go
@@ -175,6 +175,19 @@
 	return ask(ctx, o, func() schedule.Survey { return o.book.Survey(o.clock.Now(), req) })
 }
 
+// Explain says how a job stands and why; false if the owner does not know it.
+func (o *Owner) Explain(ctx context.Context, id string) (schedule.Explanation, bool, error) {
+	type outcome struct {
+		explanation schedule.Explanation
+		known       bool
+	}
+	a, err := ask(ctx, o, func() outcome {
+		x, known := o.book.Explain(o.clock.Now(), id)
+		return outcome{x, known}
+	})
+	return a.explanation, a.known, err
+}
+
 // ask has the loop answer a question.
 func ask[T any](ctx context.Context, o *Owner, question func() T) (T, error) {
 	answer := make(chan T, 1)
