--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -564,7 +564,12 @@
 		}
 	}
 	n := max(1, len(p.machines))
+	// Room that is wanted on instances with a label is supplied by label; others
+	// would only stand idle for it.
 	need := p.surveys[pool].Need
+	for _, wanted := range p.surveys[pool].Labels {
+		need = need.Minus(wanted)
+	}
 	s.want = max(inUse, instancesFor(need, room, n))
 	if !anywhere {
 		s.want = max(s.want, leastInstances)
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -86,6 +86,8 @@
 	gangs map[*gang]struct{}
 	// questions are to be put to the advisor.
 	questions []Question
+	// scarce holds the labels that waiting tasks require.
+	scarce map[string]bool
 	// soon holds the instances that are to be emptied before long.
 	soon map[pointport.InstanceID]bool
 	// deposed says that an instance has seen a higher fence.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -29,11 +29,30 @@
 		return
 	}
 	p := placement{book: b, now: now, workers: workers}
-	for _, e := range b.queue(now) {
+	queue := b.queue(now)
+	b.scarce = scarceLabels(queue)
+	for _, e := range queue {
 		p.placeAll(e)
 	}
 }
 
+// scarceLabels returns the labels that waiting tasks require.
+func scarceLabels(queue []*entry) map[string]bool {
+	var out map[string]bool
+	for _, e := range queue {
+		for _, t := range e.ready {
+			if t.step.Label == "" {
+				continue
+			}
+			if out == nil {
+				out = make(map[string]bool)
+			}
+			out[t.step.Label] = true
+		}
+	}
+	return out
+}
+
 // begin starts the occurrences that are due.
 func (b *Book) begin(now time.Time) {
 	for e := range b.recurring {
@@ -239,6 +258,9 @@
 	// servingScore is what it is worth that an instance has serving tasks, which
 	// keep it in the pool anyway.
 	servingScore = 0.5
+	// scarceScore is what it is worth that an instance stays free for tasks that
+	// require one of its labels.
+	scarceScore = 1.5
 	// soonScore is what it is worth that a serving task need not move again.
 	soonScore = 2.0
 )
@@ -257,6 +279,9 @@
 	case w.serving > 0:
 		score += servingScore
 	}
+	if t.step.Label == "" && w.hasAny(b.scarce) {
+		score -= scarceScore
+	}
 	if t.step.Service && b.soon[w.inc.Instance()] {
 		score -= soonScore
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -174,6 +174,16 @@
 	w.free = w.free.Plus(r.step().Room())
 }
 
+// hasAny reports whether the instance has any of some labels.
+func (w *Worker) hasAny(labels map[string]bool) bool {
+	for _, l := range w.inc.Labels() {
+		if labels[l] {
+			return true
+		}
+	}
+	return false
+}
+
 // soonFree returns what is left of the capacity once the runs have ended that end
 // by themselves.
 func (w *Worker) soonFree() pointport.Shape {
