--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -203,9 +203,16 @@
 // atWork is the progress at which a serving task serves, in percent.
 const atWork = 100
 
+// inheritRest is for how long a new owner moves no serving task: one that its
+// predecessor has just ordered to stop still looks as if it were at work.
+const inheritRest = 1500 * time.Millisecond
+
 // relocate stops serving tasks on workers that are being emptied, as far as
 // their steps allow; they are placed elsewhere at once.
 func (b *Book) relocate(now time.Time) {
+	if now.Sub(b.taken) < inheritRest {
+		return
+	}
 	for _, w := range b.workers {
 		if !w.evacuating || !w.closed(now) || w.ended {
 			continue
