--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -305,6 +305,13 @@
 	}
 }
 
+// Unsent takes in that an order was not given after all.
+func (p *Planner) Unsent(o Order) {
+	if m := p.machines[o.Machine]; m != nil && m.order != nil && *m.order == o {
+		m.order = nil
+	}
+}
+
 // Decide returns what to do at now.
 func (p *Planner) Decide(now time.Time) Decision {
 	d := Decision{Closures: make(map[string][]schedule.Closure)}
@@ -334,6 +341,19 @@
 	return d
 }
 
+// cleared reports whether an order about a machine would end nothing.
+func (m *machine) cleared(spare string) bool {
+	switch {
+	case m.pool == spare && spare != "", m.life == "":
+		return true // nothing runs where no software is up
+	case m.load.Incarnation != m.life:
+		// The pool's owner does not know this life, as when the owner is new, so
+		// nobody says what runs there.
+		return false
+	}
+	return m.load.Closed && m.load.Runs == 0
+}
+
 // repeat gives orders again that got no answer. Until one comes, the machine
 // stays closed: the order may be carried out at any time.
 func (p *Planner) repeat(now time.Time, d *Decision) {
@@ -342,7 +362,7 @@
 			continue
 		}
 		d.Closures[m.pool] = append(d.Closures[m.pool], schedule.Closure{Instance: m.id})
-		if now.Sub(m.ordered) > orderAgain {
+		if now.Sub(m.ordered) > orderAgain && m.cleared(p.spare) {
 			m.ordered = now
 			d.Orders = append(d.Orders, *m.order)
 		}
--- a/capacity/wave.go
+++ b/capacity/wave.go
@@ -115,19 +115,10 @@
 
 // maintainable reports whether a machine can be maintained now.
 func (p *Planner) maintainable(m *machine, force bool) bool {
-	switch {
-	case m.pool == p.spare:
-		return true
-	case m.life == "":
-		return true // nothing runs where no software is up
-	case m.load.Incarnation != m.life:
-		// The pool's owner does not know this life, as when the owner is new, so
-		// nobody says what runs there.
-		return false
-	case m.load.Closed && m.load.Runs == 0:
+	if m.cleared(p.spare) {
 		return true
 	}
-	return force && m.load.Closed && m.load.Serving == 0
+	return force && m.load.Incarnation == m.life && m.load.Closed && m.load.Serving == 0
 }
 
 // before reports whether a machine is maintained before another: one that is
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,7 +88,7 @@
 	StartRefused    = define(507, "start refused", slog.LevelInfo, "An instance refused to start a task and did nothing; reason says why.")
 	StartUnanswered = define(508, "start unanswered", slog.LevelWarn, "An instance gave no answer to a start; it is sent again, which changes nothing if the task runs.")
 	RunEnded        = define(509, "run ended", slog.LevelInfo, "An instance says that a run of a task has ended; how says in which way.")
-	RunMissing      = define(510, "run missing", slog.LevelInfo, "An instance does not list a run that it might have had; the task waits again.")
+	TaskReturned    = define(510, "task returned", slog.LevelInfo, "A placed task waits again; reason says what became of its run.")
 	StrayRun        = define(511, "stray run stopped", slog.LevelWarn, "An instance runs what no task is placed as; it is stopped.")
 	WorkerSilent    = define(512, "instance silent", slog.LevelWarn, "An instance gives no answer; what runs there counts as ended once expiresIn has passed.")
 	WorkerExpired   = define(513, "instance expired", slog.LevelWarn, "An instance was silent for so long that everything there has ended; its tasks wait again.")
--- a/member/roster.go
+++ b/member/roster.go
@@ -115,6 +115,7 @@
 	members map[string]Member
 	owners  map[string]owner
 	known   bool
+	gave    time.Time     // when this member last gave a pool away
 	changed chan struct{} // closed and replaced at every change
 }
 
@@ -295,22 +296,30 @@
 	return rank
 }
 
-// Outweighed reports whether another member would do this one's pools so much
-// better that it is worth giving one away: even with one more, it would have far
-// less to do for its strength.
+// Outweighed reports whether this member should give one of its pools away now:
+// another one, even with one more, would have far less to do for its strength.
 func (r *Roster) Outweighed() bool {
+	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.gave) < giveEvery {
+		return false
+	}
 	owned := r.owned()
 	mine := load(r.self, owned[r.self.Name])
 	for name, m := range r.members {
 		if name != r.self.Name && load(m, owned[name]+1)*outweighs <= mine {
+			r.gave = now
 			return true
 		}
 	}
 	return false
 }
 
+// giveEvery is the least time between two pools that a member gives away. Each
+// changes the picture on which the next is decided.
+const giveEvery = 10 * time.Second
+
 // outweighs is how many times less another member must have to do.
 const outweighs = 2.0
 
--- /dev/null
+++ b/node/random_test.go
@@ -0,0 +1,372 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/intake"
+	_ "github.com/pointport/pointport/internal/fixedseed"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/testbed"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file draws jobs and troubles at random and checks what must hold under
+// all of them.
+
+// A trouble is something that goes wrong at a time.
+type trouble struct {
+	at, lasts time.Duration
+	kind      string
+	index     int
+}
+
+func (t trouble) String() string {
+	return fmt.Sprintf("%v for %v: %s %d", t.at, t.lasts, t.kind, t.index)
+}
+
+// A script is what happens to a cluster.
+type script struct {
+	jobs     []*workload.Spec
+	starts   []time.Duration
+	cancels  map[int]time.Duration
+	troubles []trouble
+	guards   bool
+}
+
+// span is how long jobs and troubles go on to begin.
+const span = 14 * time.Second
+
+func drawScript(t *rapid.T) script {
+	s := script{cancels: make(map[int]time.Duration), guards: rapid.Bool().Draw(t, "guards")}
+	for range rapid.IntRange(1, 12).Draw(t, "jobs") {
+		s.jobs = append(s.jobs, drawSpec(t))
+		s.starts = append(s.starts, drawTime(t, "start"))
+		if rapid.IntRange(0, 6).Draw(t, "cancelled") == 0 {
+			s.cancels[len(s.jobs)-1] = drawTime(t, "cancel")
+		}
+	}
+	kinds := []string{"kill", "stop", "crash", "drain", "failing", "storeDown", "storeLoses", "storeLate", "storeForgets", "revoke", "cutInstance", "lateOrders", "muteOrders", "cutPeers", "wave"}
+	for range rapid.IntRange(0, 7).Draw(t, "troubles") {
+		s.troubles = append(s.troubles, trouble{
+			at:    drawTime(t, "trouble"),
+			lasts: time.Duration(rapid.IntRange(300, 6000).Draw(t, "lasts")) * time.Millisecond,
+			kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+			index: rapid.IntRange(0, 9).Draw(t, "index"),
+		})
+	}
+	return s
+}
+
+func drawTime(t *rapid.T, label string) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(span/time.Millisecond)).Draw(t, label)) * time.Millisecond
+}
+
+func drawSpec(t *rapid.T) *workload.Spec {
+	spec := &workload.Spec{}
+	serves := rapid.IntRange(0, 5).Draw(t, "serves") == 0
+	steps := 1
+	if !serves {
+		steps = rapid.IntRange(1, 3).Draw(t, "steps")
+	}
+	for n := range steps {
+		step := workload.Step{
+			Count:    rapid.IntRange(1, 5).Draw(t, "count"),
+			Need:     pointport.Shape{CPUMilli: int64(100 * rapid.IntRange(1, 15).Draw(t, "cpu")), MemoryMiB: int64(64 * rapid.IntRange(0, 16).Draw(t, "memory"))},
+			Estimate: time.Duration(rapid.IntRange(50, 2500).Draw(t, "estimate")) * time.Millisecond,
+			Service:  serves,
+		}
+		if n > 0 && rapid.Bool().Draw(t, "depends") {
+			step.After = []int{rapid.IntRange(0, n-1).Draw(t, "after")}
+		}
+		switch rapid.IntRange(0, 5).Draw(t, "sort") {
+		case 0:
+			step.Copies = !serves
+		case 1:
+			step.Gang = !serves
+		case 2:
+			step.MaxPerInstance = 2
+		}
+		if serves {
+			step.MayMiss = 1
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
+
+// workOf returns what the tasks of a script's jobs do: as declared, but that they
+// take longer or shorter.
+func (s *script) workOf(o pointport.StartOrder) testbed.Work {
+	id, ref, err := workload.ParseTaskName(o.Task)
+	if err != nil {
+		return testbed.Work{}
+	}
+	var n int
+	if _, err := fmt.Sscanf(id, "%x", &n); err != nil || n >= len(s.jobs) {
+		return testbed.Work{}
+	}
+	step := s.jobs[n].Steps[ref.Step]
+	w := testbed.Work{Room: step.Room(), Duration: step.Estimate * time.Duration(2+(ref.Index+n)%3) / 3, Serves: step.Service, Copies: step.Copies}
+	if step.Gang {
+		w.Gang, w.Duration = step.Count, step.Estimate
+	}
+	for _, before := range step.After {
+		for i := range s.jobs[n].Steps[before].Count {
+			w.After = append(w.After, workload.TaskName(id, workload.TaskRef{K: ref.K, Step: before, Index: i}))
+		}
+	}
+	return w
+}
+
+func TestRulesHoldUnderRandomTroubles(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScript(rt)
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			options := []clusterOption{withWork(s.workOf)}
+			if !s.guards {
+				options = append(options, withoutGuards())
+			}
+			c := newCluster(t, options...)
+			failures = s.play(c)
+			c.close()
+		})
+		for _, f := range failures {
+			rt.Error(f)
+		}
+	})
+}
+
+// play runs a script on a cluster and returns what was wrong.
+func (s *script) play(c *cluster) []string {
+	names := []string{"n0", "n1", "n2"}
+	for _, name := range names {
+		c.start(name)
+	}
+	time.Sleep(2 * time.Second)
+	begun := time.Now()
+	p := &play{cluster: c, script: s, accepted: make([]bool, len(s.jobs)), cancelled: make([]bool, len(s.jobs))}
+	var all sync.WaitGroup
+	for n := range s.jobs {
+		all.Go(func() { p.submit(n) })
+	}
+	for n, at := range s.cancels {
+		all.Go(func() { p.cancelLater(n, at) })
+	}
+	for _, tr := range s.troubles {
+		all.Go(func() { p.bring(tr) })
+	}
+	time.Sleep(span + 7*time.Second - time.Since(begun))
+	all.Wait()
+	c.setStoreFate(storeWorks)
+	c.setNetwork(testbed.Reliable)
+	for _, id := range c.fleet.IDs() {
+		c.fleet.SetFailing(id, false)
+	}
+	return p.settle()
+}
+
+// A play is a script under way.
+type play struct {
+	cluster             *cluster
+	script              *script
+	accepted, cancelled []bool
+	busy                [3]bool // nodes that are down or about to be
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// any returns a node that is up.
+func (p *play) any(n int) *running {
+	c := p.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range 3 {
+		if r := c.nodes[fmt.Sprintf("n%d", (n+i)%3)]; r != nil && r.node.Catalog() != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// submit submits a job until it is accepted, as a customer would.
+func (p *play) submit(n int) {
+	time.Sleep(p.script.starts[n])
+	for try := range 400 {
+		if r := p.any(n + try); r != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			err := r.node.Desk().Submit(ctx, p.queue(r, n), jobID(n), p.script.jobs[n])
+			cancel()
+			if err == nil {
+				p.accepted[n] = true
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (p *play) queue(r *running, n int) *workload.Queue {
+	k := r.node.Catalog()
+	return &k.Queues[n%len(k.Queues)]
+}
+
+func (p *play) cancelLater(n int, at time.Duration) {
+	time.Sleep(at)
+	for try := range 400 {
+		if r := p.any(n + try); r != nil && p.accepted[n] {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			err := r.node.Desk().Cancel(ctx, p.queue(r, n), jobID(n))
+			cancel()
+			if err == nil {
+				p.cancelled[n] = true
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// bring brings a trouble about and ends it after its time.
+func (p *play) bring(tr trouble) {
+	time.Sleep(tr.at)
+	c := p.cluster
+	name := fmt.Sprintf("n%d", tr.index%3)
+	id := c.fleet.IDs()[tr.index]
+	none := func(string, pointport.InstanceID) testbed.Fate { return testbed.Fate{Latency: time.Millisecond} }
+	switch tr.kind {
+	case "kill", "stop":
+		if p.busy[tr.index%3] {
+			return
+		}
+		p.busy[tr.index%3] = true
+		if tr.kind == "kill" {
+			c.kill(name)
+		} else {
+			c.stop(name)
+		}
+		time.Sleep(tr.lasts)
+		c.start(name)
+		p.busy[tr.index%3] = false
+	case "crash":
+		c.fleet.Crash(id, tr.lasts)
+	case "drain":
+		c.fleet.Drain(id, 2*time.Second, tr.lasts)
+	case "failing":
+		c.fleet.SetFailing(id, true)
+		time.Sleep(tr.lasts)
+		c.fleet.SetFailing(id, false)
+	case "storeForgets":
+		c.store.SetDeaf(true)
+		time.Sleep(time.Second)
+		c.store.Forget()
+		c.store.SetDeaf(false)
+	case "revoke":
+		for _, key := range []string{"roster/owner/shift", "roster/owner/payout", "roster/owner//steward"} {
+			c.store.Take(key)
+		}
+	case "storeDown", "storeLoses", "storeLate":
+		fault := map[string]memory.Fault{"storeDown": memory.FaultLostCall, "storeLoses": memory.FaultLostAnswer, "storeLate": memory.FaultLate}[tr.kind]
+		calls := 0
+		c.setStoreFate(func(node, op string) memory.Fault {
+			calls++
+			switch {
+			case tr.kind == "storeDown" && (tr.index < 5 || node == name):
+				return fault
+			case tr.kind != "storeDown" && op == "commit" && calls%3 == 0:
+				return fault
+			}
+			return memory.FaultNone
+		})
+		time.Sleep(tr.lasts)
+		c.setStoreFate(storeWorks)
+	case "cutInstance":
+		c.setNetwork(func(op string, to pointport.InstanceID) testbed.Fate {
+			return testbed.Fate{Latency: time.Millisecond, Lost: to == id}
+		})
+		time.Sleep(tr.lasts)
+		c.setNetwork(none)
+	case "lateOrders", "muteOrders":
+		calls := 0
+		c.setNetwork(func(string, pointport.InstanceID) testbed.Fate {
+			calls++
+			switch {
+			case calls%7 != 0:
+				return testbed.Fate{Latency: time.Millisecond}
+			case tr.kind == "muteOrders":
+				return testbed.Fate{Mute: true}
+			}
+			return testbed.Fate{Late: time.Duration(2+tr.index) * time.Second}
+		})
+		time.Sleep(tr.lasts)
+		c.setNetwork(none)
+	case "cutPeers":
+		c.mu.Lock()
+		c.peersCut[name] = true
+		c.mu.Unlock()
+		time.Sleep(tr.lasts)
+		c.mu.Lock()
+		delete(c.peersCut, name)
+		c.mu.Unlock()
+	case "wave":
+		c.wave(int64(tr.index+1), c.fleet.IDs()[:tr.index+1], 2)
+	}
+}
+
+// settle waits until everything has calmed down and returns what is wrong.
+func (p *play) settle() []string {
+	c := p.cluster
+	var wrong []string
+	var last string
+	for range 600 {
+		time.Sleep(100 * time.Millisecond)
+		if last = p.unsettled(); last == "" {
+			break
+		}
+	}
+	if last != "" {
+		wrong = append(wrong, "a minute after the troubles: "+last)
+	}
+	for _, v := range c.fleet.Violations() {
+		wrong = append(wrong, v.String()+"\n"+c.logs.about(v.Task)+c.logs.about("event=421")+c.logs.about("event=51"))
+	}
+	return wrong
+}
+
+// unsettled says which job is not as it should be in the end, empty if all are.
+func (p *play) unsettled() string {
+	r := p.any(0)
+	if r == nil {
+		return "no node is up"
+	}
+	for n, spec := range p.script.jobs {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		status, err := r.node.Desk().Status(ctx, p.queue(r, n), jobID(n))
+		cancel()
+		var unknown *intake.UnknownJobError
+		want := workload.Completed
+		switch {
+		case !p.accepted[n]:
+			return fmt.Sprintf("job %d was not accepted", n)
+		case p.cancelled[n] && status == workload.Completed && !spec.Lasts():
+			continue // it was done before
+		case p.cancelled[n]:
+			want = workload.Cancelled
+		case spec.Lasts():
+			want = workload.Running
+		}
+		if errors.As(err, &unknown) || err != nil || status != want {
+			return fmt.Sprintf("job %d is %q (%v), want %q\n%s", n, status, err, want, p.cluster.logs.about(jobID(n)))
+		}
+	}
+	return ""
+}
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -50,10 +50,10 @@
 	key          stepKey
 }
 
-// permits reports whether a worker may run a task, as far as labels and advice
-// go.
+// permits reports whether a worker may run a task, as far as labels, earlier
+// failures and advice go.
 func (b *Book) permits(t waiting, w *Worker, now time.Time) bool {
-	if !w.hasLabel(t.step.Label) {
+	if !w.hasLabel(t.step.Label) || b.wary(t, w, now) {
 		return false
 	}
 	if !t.entry.job.Policy().Advised {
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -40,6 +40,11 @@
 	stale bool
 	// standing is how pressing the job was at the last plan.
 	standing standing
+	// stalled counts the runs of a task that were stopped because they stood still
+	// or crawled.
+	stalled map[workload.TaskRef]int
+	// wary holds until when tasks that have failed stay away from where they did.
+	wary map[workload.TaskRef]time.Time
 	// took is how long the tasks took that are done.
 	took map[stepKey]stepTook
 	// advice is what the advisor has said of the job's steps.
@@ -143,10 +148,13 @@
 	e.job.Occurrences(func(o *workload.Occurrence) {
 		for n, step := range o.Steps {
 			for i := range step {
+				ref := workload.TaskRef{K: o.K, Step: n, Index: i}
+				if step[i].Phase == workload.Pending && step[i].On != "" {
+					e.beWary(ref, now)
+				}
 				if step[i].Phase != workload.Placed {
 					continue
 				}
-				ref := workload.TaskRef{K: o.K, Step: n, Index: i}
 				w := b.worker(now, step[i].On)
 				b.newRun(now, e, ref, w, step[i].Run, runInherited)
 			}
@@ -260,7 +268,7 @@
 // stop orders a run to stop, or drops it if it was never sent.
 func (b *Book) stop(now time.Time, r *Run, reason string) {
 	if r.state == runDecided {
-		b.drop(now, r)
+		b.drop(now, r, reason)
 		return
 	}
 	if r.stopping {
@@ -273,8 +281,12 @@
 }
 
 // drop removes a run that has ended, or never started, and puts its task back.
-func (b *Book) drop(now time.Time, r *Run) {
+func (b *Book) drop(now time.Time, r *Run, reason string) {
 	detached := r.detached()
+	if r.state != runDecided {
+		event.TaskReturned.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
+			slog.String("incarnation", string(r.worker.inc.ID())), slog.String("reason", reason))
+	}
 	b.forget(r)
 	if detached {
 		return
@@ -378,9 +390,7 @@
 			continue
 		}
 		r.load = row.Load
-		if row.Progress != r.progress || r.movedAt.IsZero() {
-			r.progress, r.movedAt = row.Progress, now
-		}
+		r.moved(now, row.Progress)
 		if t := r.task(); t != nil && row.Checkpoint != "" {
 			t.Checkpoint = row.Checkpoint
 		}
@@ -392,6 +402,7 @@
 	if r.state == runSettling || r.state == runLive {
 		return
 	}
+	r.inherited = r.state == runInherited
 	r.state, r.liveAt = runLive, now
 }
 
@@ -427,9 +438,7 @@
 			gone = sent.After(r.liveAt)
 		}
 		if gone {
-			event.RunMissing.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
-				slog.String("incarnation", string(w.inc.ID())))
-			b.drop(now, r)
+			b.drop(now, r, "its instance does not list it")
 		}
 	}
 }
@@ -462,7 +471,7 @@
 	case pointport.EndFailed:
 		b.runFailed(now, r)
 	default:
-		b.drop(now, r)
+		b.drop(now, r, string(end.Kind))
 	}
 }
 
@@ -491,7 +500,7 @@
 }
 
 func (b *Book) runDone(now time.Time, r *Run) {
-	if !r.liveAt.IsZero() {
+	if !r.liveAt.IsZero() && !r.inherited && r.from == 0 {
 		b.learned.observe(r.entry.job.Queue(), r.step(), now.Sub(r.liveAt))
 		r.entry.note(stepKey{r.ref.K, r.ref.Step}, now.Sub(r.liveAt))
 	}
@@ -520,6 +529,7 @@
 		return
 	}
 	jobFailed := r.entry.job.Fail(r.ref)
+	r.entry.beWary(r.ref, now)
 	b.touch(r.entry, true)
 	switch {
 	case jobFailed:
@@ -561,9 +571,12 @@
 func (b *Book) abandon(now time.Time, w *Worker) {
 	for _, r := range w.runs {
 		if r.step().Copies && !r.step().Gang && r.state != runDecided && r.entry.runs[r.ref] == r {
+			event.TaskReturned.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
+				slog.String("incarnation", string(w.inc.ID())), slog.String("reason", "its instance is silent, and a copy may run"))
 			b.detach(r)
 			r.entry.job.Return(r.ref)
 			b.touch(r.entry, true)
+			b.settleJob(now, r.entry)
 		}
 	}
 }
@@ -587,12 +600,12 @@
 	event.WorkerEnded.Log(b.logger, slog.String("incarnation", string(w.inc.ID())),
 		slog.Int("runs", len(w.runs)), slog.String("reason", why))
 	w.ended = true
-	b.dropAll(w, now)
+	b.dropAll(w, now, "its incarnation is over")
 }
 
-func (b *Book) dropAll(w *Worker, now time.Time) {
+func (b *Book) dropAll(w *Worker, now time.Time, reason string) {
 	for _, r := range w.runs {
-		b.drop(now, r)
+		b.drop(now, r, reason)
 	}
 	b.urgent = true
 }
@@ -606,7 +619,7 @@
 			for _, r := range w.runs {
 				w.burn(r)
 			}
-			b.dropAll(w, now)
+			b.dropAll(w, now, "its instance was silent until its time was over")
 		}
 		if len(w.runs) == 0 && !w.listed && (w.ended || now.After(w.expires)) {
 			delete(b.workers, id)
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -1,6 +1,11 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/workload"
+)
 
 // This file defines how an instance that fails what it starts is stepped
 // around.
@@ -45,3 +50,43 @@
 
 // avoided reports whether nothing should be placed on the worker.
 func (h *health) avoided(now time.Time) bool { return now.Before(h.avoid) }
+
+// retryElsewhere is for how long a task that has failed waits for another
+// instance than the one on which it failed.
+const retryElsewhere = 3 * time.Second
+
+// wary reports whether a task should not go to a worker because it, or another of
+// its gang, has just failed there.
+func (b *Book) wary(t waiting, w *Worker, now time.Time) bool {
+	if len(t.entry.wary) == 0 {
+		return false
+	}
+	if !t.step.Gang {
+		return t.entry.waryOf(t.ref, w.inc.ID(), now)
+	}
+	for i := range t.step.Count {
+		ref := t.ref
+		ref.Index = i
+		if t.entry.waryOf(ref, w.inc.ID(), now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) waryOf(ref workload.TaskRef, on pointport.IncarnationID, now time.Time) bool {
+	until, ok := e.wary[ref]
+	if !ok {
+		return false
+	}
+	task := e.job.Task(ref)
+	return task != nil && task.Phase == workload.Pending && task.On == on && now.Before(until)
+}
+
+// beWary keeps a task that has failed away from where it did, for a while.
+func (e *entry) beWary(ref workload.TaskRef, now time.Time) {
+	if e.wary == nil {
+		e.wary = make(map[workload.TaskRef]time.Time)
+	}
+	e.wary[ref] = now.Add(retryElsewhere)
+}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -114,7 +114,7 @@
 		b.stop(now, r, "its start was refused, and an earlier order may still come")
 		return
 	}
-	b.drop(now, r)
+	b.drop(now, r, "its start was refused")
 	b.urgent = true
 }
 
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -140,7 +140,7 @@
 		p.book.placeAs(p.now, t, w, t.entry.job.Task(t.ref).Run+1)
 		return true
 	}
-	if t.step.MaxPerInstance == 0 && t.step.Label == "" && t.step.DataRack == "" && !t.entry.job.Policy().Advised {
+	if t.step.MaxPerInstance == 0 && t.step.Label == "" && len(t.entry.wary) == 0 && t.step.DataRack == "" && !t.entry.job.Policy().Advised {
 		p.full = append(p.full, room)
 	}
 	if t.step.Service {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -36,8 +36,14 @@
 	worker *Worker
 	state  runState
 
-	placedAt    time.Time
-	liveAt      time.Time // when the instance was first seen to run it
+	placedAt time.Time
+	liveAt   time.Time // when the instance was first seen to run it
+	// inherited says that the run began under an earlier owner, at a time that is
+	// not known.
+	inherited bool
+	// from is the progress that was seen first: of a run that resumes, or that
+	// began under an earlier owner.
+	from        int
 	settleAfter time.Time
 	// unanswered counts the start orders without an answer. If there is one, the
 	// instance may still carry it out later.
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/workload"
 )
 
 // This file defines how runs are found that stand still or crawl: an instance may
@@ -14,6 +15,9 @@
 	// stuckAfter is for how long a run shows no progress before it counts as
 	// stuck. Reports come at least once a second.
 	stuckAfter = 1500 * time.Millisecond
+	// stuckMost is how often a task is started anew because it is stuck. A task
+	// that crawled is started anew once: if it crawls again, it is itself slow.
+	stuckMost = 3
 	// crawlAfter is how old a run must be before its speed says anything.
 	crawlAfter = 600 * time.Millisecond
 	// crawlFactor is how many times as long as others of its step a run must
@@ -37,12 +41,18 @@
 		if r.state != runLive || r.stopping || r.step().Service || r.step().Gang || r.progress >= wholePercent {
 			continue
 		}
-		if !r.stuck(now) && !b.crawls(now, r) {
+		again := r.entry.stalled[r.ref]
+		stuck := r.stuck(now) && again < stuckMost
+		if !stuck && (again > 0 || !b.crawls(now, r)) {
 			continue
 		}
 		event.RunStalled.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 			slog.String("incarnation", string(w.inc.ID())), slog.Duration("age", now.Sub(r.liveAt)),
 			slog.Int("progress", r.progress), slog.Duration("unchanged", now.Sub(r.movedAt)))
+		if r.entry.stalled == nil {
+			r.entry.stalled = make(map[workload.TaskRef]int)
+		}
+		r.entry.stalled[r.ref]++
 		w.health.stalled(now)
 		b.stop(now, r, "it would be done sooner elsewhere")
 	}
@@ -57,7 +67,7 @@
 // other runs of its step.
 func (b *Book) crawls(now time.Time, r *Run) bool {
 	age := now.Sub(r.liveAt)
-	if age < crawlAfter || r.progress <= 0 {
+	if age < crawlAfter || r.progress <= r.from {
 		return false
 	}
 	others := b.others(r)
@@ -69,20 +79,39 @@
 	if b.slowness(r.worker) > crawlTogether {
 		factor = crawlTogether
 	}
-	return float64(whole) > factor*float64(others) && whole-age > others+restartCost
+	left := whole * time.Duration(wholePercent-r.progress) / wholePercent
+	return float64(whole) > factor*float64(others) && left > others+restartCost
 }
 
-// whole returns how long a run will take in all by the progress that was seen.
+// whole returns how long the whole task takes by the progress that was seen of
+// the run, which must be some.
 func (r *Run) whole() time.Duration {
-	return r.movedAt.Sub(r.liveAt) * wholePercent / time.Duration(r.progress)
+	return r.movedAt.Sub(r.liveAt) * wholePercent / time.Duration(r.progress-r.from)
+}
+
+// moved takes in the progress that a report shows.
+func (r *Run) moved(now time.Time, progress int) {
+	switch {
+	case r.movedAt.IsZero():
+		if r.inherited || now.Sub(r.liveAt) > freshReport {
+			r.from = progress
+		}
+		r.progress, r.movedAt = progress, now
+	case progress != r.progress:
+		r.progress, r.movedAt = progress, now
+	}
 }
 
+// freshReport is how old a run may be when its first report comes for the
+// progress in it to count from the run's beginning.
+const freshReport = 1500 * time.Millisecond
+
 // slowness returns how many times as long as elsewhere the runs on a worker
 // take, zero if there are too few to tell.
 func (b *Book) slowness(w *Worker) float64 {
 	sum, n := 0.0, 0
 	for _, r := range w.runs {
-		if r.state != runLive || r.step().Service || r.progress <= 0 || !r.movedAt.After(r.liveAt) {
+		if r.state != runLive || r.step().Service || r.progress <= r.from || !r.movedAt.After(r.liveAt) {
 			continue
 		}
 		if others := b.others(r); others > 0 {
@@ -107,7 +136,7 @@
 	var sum time.Duration
 	n := 0
 	for ref, o := range r.entry.runs {
-		if ref.K != r.ref.K || ref.Step != r.ref.Step || o.worker == r.worker || o.progress <= 0 || o.state != runLive {
+		if ref.K != r.ref.K || ref.Step != r.ref.Step || o.worker == r.worker || o.progress <= o.from || o.state != runLive {
 			continue
 		}
 		sum += o.whole()
@@ -122,8 +151,9 @@
 // remaining returns how long a run will probably go on.
 func (b *Book) remaining(now time.Time, r *Run) time.Duration {
 	age := now.Sub(r.liveAt)
-	if r.progress > 0 && r.movedAt.After(r.liveAt) {
-		return max(0, r.whole()-age)
+	if r.progress > r.from && r.movedAt.After(r.liveAt) {
+		left := r.whole() * time.Duration(wholePercent-r.progress) / wholePercent
+		return max(0, left-now.Sub(r.movedAt))
 	}
 	expected := b.learned.duration(r.entry.job.Queue(), r.step())
 	if took := r.entry.took[stepKey{r.ref.K, r.ref.Step}]; took.n > 0 {
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -40,7 +40,8 @@
 	// Waiting is the room that tasks want whose turn has come.
 	Waiting pointport.Shape `json:"waiting"`
 	// Spread is how many more instances it takes to hold the tasks whose step
-	// bounds how many of them one instance may hold.
+	// bounds how many of them one instance may hold, or that failed where they
+	// could be.
 	Spread int `json:"spread,omitempty"`
 	// Labels says for labels, a rack's among them, how much room is wanted on
 	// instances that have them and found none there.
@@ -126,14 +127,14 @@
 	workers := b.usable(now)
 	for e := range b.hungry {
 		for _, t := range e.ready {
-			if t.step.MaxPerInstance > 0 && b.bestOf(now, t, workers) == nil {
+			if (t.step.MaxPerInstance > 0 || len(e.wary) > 0) && b.bestOf(now, t, workers) == nil {
 				crowded[group{t.entry, t.ref.K, t.ref.Step}]++
 			}
 		}
 	}
 	most := 0
 	for g, n := range crowded {
-		per := g.entry.job.Spec().Steps[g.step].MaxPerInstance
+		per := max(1, g.entry.job.Spec().Steps[g.step].MaxPerInstance)
 		most = max(most, (n+per-1)/per)
 	}
 	return most
--- a/shard/load.go
+++ b/shard/load.go
@@ -36,7 +36,7 @@
 		GangTime:         o.gangTime,
 		FarFactor:        o.far,
 	}, o.logger)
-	o.writer = &writer{kv: o.kv, clock: o.clock, logger: o.logger, own: o.own}
+	o.writer = member.NewWriter(o.kv, o.clock, o.own, o.logger)
 	for {
 		at, err := o.read(ctx)
 		if err == nil || ctx.Err() != nil {
@@ -52,7 +52,7 @@
 }
 
 func (o *Owner) read(ctx context.Context) (pointport.Revision, error) {
-	if err := o.writer.open(ctx); err != nil {
+	if err := o.writer.Open(ctx); err != nil {
 		return 0, err
 	}
 	open, at, err := member.ReadAll(ctx, o.kv, workload.OpenPrefix(o.own.Pool))
@@ -139,13 +139,13 @@
 		o.waiters = append(o.waiters, func() { answer <- outcome{true} })
 	})
 	if !sent {
-		return false, ErrDeposed
+		return false, member.ErrLost
 	}
 	select {
 	case a := <-answer:
 		return a.known, nil
 	case <-o.done:
-		return false, ErrDeposed
+		return false, member.ErrLost
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
@@ -195,18 +195,18 @@
 	select {
 	case <-o.ready:
 	case <-o.done:
-		return none, ErrDeposed
+		return none, member.ErrLost
 	case <-ctx.Done():
 		return none, ctx.Err()
 	}
 	if !o.do(func(time.Time) { answer <- question() }) {
-		return none, ErrDeposed
+		return none, member.ErrLost
 	}
 	select {
 	case a := <-answer:
 		return a, nil
 	case <-o.done:
-		return none, ErrDeposed
+		return none, member.ErrLost
 	case <-ctx.Done():
 		return none, ctx.Err()
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -100,7 +100,7 @@
 	// What follows belongs to the loop.
 	book     *schedule.Book
 	loaded   pointport.Revision // as of which the pool's open jobs were read
-	writer   *writer
+	writer   *member.Writer
 	writing  bool
 	wrote    time.Time
 	planned  time.Time
@@ -196,7 +196,7 @@
 			return ctx.Err()
 		}
 		if o.book.Deposed() {
-			return ErrDeposed
+			return member.ErrLost
 		}
 		wake = o.clock.After(o.turn(ctx))
 	}
@@ -281,7 +281,7 @@
 	o.waiters, o.removals = nil, nil
 	o.writing, o.wrote = true, now
 	go func() {
-		err := o.writer.write(ctx, batch.Records, removals)
+		err := o.store(ctx, batch.Records, removals)
 		o.do(func(now time.Time) {
 			o.writing = false
 			if err != nil {
--- a/steward/journal.go
+++ b/steward/journal.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -43,18 +42,18 @@
 
 // A journal keeps when machines were ordered. It is not safe for concurrent use.
 type journal struct {
-	kv   pointport.KV
-	own  member.Ownership
-	rest time.Duration // that must lie between two holders' orders
-	doc  journalDocument
+	kv     pointport.KV
+	writer *member.Writer
+	rest   time.Duration // that must lie between two holders' orders
+	doc    journalDocument
 	// former holds the orders of earlier stewards.
 	former map[pointport.InstanceID]capacity.FormerOrder
 	opened bool
 }
 
-func newJournal(kv pointport.KV, own member.Ownership, rest time.Duration) *journal {
+func newJournal(kv pointport.KV, writer *member.Writer, own member.Ownership, rest time.Duration) *journal {
 	return &journal{
-		kv: kv, own: own, rest: rest, former: make(map[pointport.InstanceID]capacity.FormerOrder),
+		kv: kv, writer: writer, rest: rest, former: make(map[pointport.InstanceID]capacity.FormerOrder),
 		doc: journalDocument{Fence: own.Fence, Ordered: make(map[pointport.InstanceID]journalEntry)},
 	}
 }
@@ -97,13 +96,5 @@
 	if err != nil {
 		return err
 	}
-	_, err = j.kv.Commit(ctx, pointport.Txn{
-		If:  []pointport.Condition{{Key: member.OwnerKey(Post), Revision: j.own.Revision}},
-		Put: []pointport.Put{{Key: journalKey, Value: value}},
-	})
-	var conflict *pointport.TxnConflictError
-	if errors.As(err, &conflict) {
-		return member.ErrLost
-	}
-	return err
+	return j.writer.Commit(ctx, pointport.Txn{Put: []pointport.Put{{Key: journalKey, Value: value}}})
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -45,6 +45,9 @@
 	listIdle = 2 * time.Second
 	// surveyTimeout bounds a question to the owner of a pool.
 	surveyTimeout = 400 * time.Millisecond
+	// writeTimeout bounds a change that the steward makes; while the store is away
+	// it must go on keeping instances closed.
+	writeTimeout = 800 * time.Millisecond
 	// turnSlack is kept beyond the time that must lie between two holders.
 	turnSlack = 300 * time.Millisecond
 	// inboxSize is how many answers may wait for the loop.
@@ -107,6 +110,7 @@
 	soon     []pointport.InstanceID
 	listed   time.Time
 	listing  bool
+	writer   *member.Writer
 	journal  *journal
 	stored   map[int64]string
 	restored map[int64]bool
@@ -124,10 +128,11 @@
 		services: s, settings: settings, own: own, cancel: cancel, done: make(chan struct{}),
 		logger:  logger.With(slog.Int64("fence", int64(own.Fence))),
 		planner: capacity.NewPlanner(settings.Planner), inbox: make(chan func(time.Time), inboxSize),
-		journal: newJournal(s.KV, own, settings.HolderTime+turnSlack),
-		stored:  make(map[int64]string), restored: make(map[int64]bool),
+		stored: make(map[int64]string), restored: make(map[int64]bool),
 		sizes: make(map[string]capacity.Size),
 	}
+	st.writer = member.NewWriter(s.KV, s.Clock, own, st.logger)
+	st.journal = newJournal(s.KV, st.writer, own, settings.HolderTime+turnSlack)
 	go func() {
 		defer close(st.done)
 		st.run(ctx)
@@ -185,7 +190,7 @@
 	if s.listed.IsZero() || !s.own.Proven(now) {
 		return roundEvery
 	}
-	if err := s.journal.open(ctx); err != nil {
+	if err := s.open(ctx); err != nil {
 		event.PlanFailed.Log(s.logger, slog.String("part", "journal"), slog.Any("error", err))
 		return roundEvery
 	}
@@ -201,6 +206,32 @@
 	return roundEvery
 }
 
+// open reads what the steward must know before its first order.
+func (s *Steward) open(ctx context.Context) error {
+	if err := s.writer.Open(ctx); err != nil {
+		return err
+	}
+	return s.journal.open(ctx)
+}
+
+// write makes a change under the steward's ownership. It reports whether the
+// change is known to be made.
+func (s *Steward) write(ctx context.Context, make func(context.Context) error) bool {
+	limited, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := make(limited)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, member.ErrLost):
+		event.StoreRefused.Log(s.logger, slog.Any("error", err))
+		s.cancel()
+	case ctx.Err() == nil:
+		event.PlanFailed.Log(s.logger, slog.Any("error", err))
+	}
+	return false
+}
+
 // logSizes notes the pools whose size has changed, or should.
 func (s *Steward) logSizes(sizes []capacity.Size) {
 	for _, z := range sizes {
@@ -261,18 +292,22 @@
 }
 
 // orders writes orders to the journal and gives them. Those that cannot be
-// written are not given; the planner asks for them again.
+// written are not given.
 func (s *Steward) orders(ctx context.Context, orders []capacity.Order) {
 	if len(orders) == 0 {
 		return
 	}
-	if err := s.journal.add(ctx, s.services.Clock.Now(), orders); err != nil {
-		event.PlanFailed.Log(s.logger, slog.String("part", "journal"), slog.Any("error", err))
+	journaled := s.write(ctx, func(ctx context.Context) error {
+		return s.journal.add(ctx, s.services.Clock.Now(), orders)
+	})
+	if !journaled || !s.own.Proven(s.services.Clock.Now()) {
+		// Either it is not known whether they are in the journal, or the write took
+		// too long to count on what was surveyed and on the key.
+		for _, o := range orders {
+			s.planner.Unsent(o)
+		}
 		return
 	}
-	if !s.own.Proven(s.services.Clock.Now()) {
-		return // the write took too long to count on the key any more
-	}
 	for _, o := range orders {
 		s.order(ctx, o)
 	}
@@ -346,21 +381,13 @@
 			continue
 		}
 		status := s.services.Waves.Status(p.Wave, p.Completed)
-		_, err = s.services.KV.Commit(ctx, pointport.Txn{
-			If:  []pointport.Condition{{Key: member.OwnerKey(Post), Revision: s.own.Revision}},
-			Put: []pointport.Put{status, {Key: waveKey(status), Value: value}},
+		written := s.write(ctx, func(ctx context.Context) error {
+			return s.writer.Commit(ctx, pointport.Txn{Put: []pointport.Put{status, {Key: waveKey(status), Value: value}}})
 		})
-		var conflict *pointport.TxnConflictError
-		switch {
-		case err == nil:
-			s.stored[p.Wave] = string(value)
-			event.WaveReported.Log(s.logger, slog.Int64("wave", p.Wave), slog.Int("ordered", len(p.Ordered)), slog.Bool("completed", p.Completed))
-		case errors.As(err, &conflict):
-			event.StoreRefused.Log(s.logger, slog.Any("error", err))
-			s.cancel()
+		if !written {
 			return
-		default:
-			event.PlanFailed.Log(s.logger, slog.Int64("wave", p.Wave), slog.Any("error", err))
 		}
+		s.stored[p.Wave] = string(value)
+		event.WaveReported.Log(s.logger, slog.Int64("wave", p.Wave), slog.Int("ordered", len(p.Ordered)), slog.Bool("completed", p.Completed))
 	}
 }
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -145,6 +145,9 @@
 	}
 	m.life.advance(f.clock.Now())
 	m.life.over = true
+	for _, r := range m.life.runs {
+		f.breakGang(r)
+	}
 	f.register(f.registration(m), false)
 	m.life = nil
 	f.wake()
@@ -254,6 +257,24 @@
 	return n
 }
 
+// Holding returns the machines on which something runs, sorted.
+func (f *Fleet) Holding() []pointport.InstanceID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []pointport.InstanceID
+	for id, m := range f.machines {
+		if m.life == nil {
+			continue
+		}
+		m.life.advance(f.clock.Now())
+		if len(m.life.runs) > 0 {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a] < out[b] })
+	return out
+}
+
 func (f *Fleet) violate(now time.Time, task, what string) {
 	f.log = append(f.log, Violation{At: now, Task: task, What: what})
 }
@@ -302,7 +323,7 @@
 }
 
 // noteDone notes that a run has ended well. The lock is held.
-func (f *Fleet) noteDone(t pointport.TaskRun, at *incarnation, _ time.Time) {
+func (f *Fleet) noteDone(t pointport.TaskRun, at *incarnation) {
 	if f.ends[at] == nil {
 		f.ends[at] = make(map[int64]string)
 	}
@@ -365,14 +386,27 @@
 	return task
 }
 
-// endGang ends the other members of a gang with one. The lock is held.
-func (f *Fleet) endGang(r *run, _ *incarnation) {
+// breakGang ends the other members of a gang of which one has ended otherwise
+// than well. The lock is held.
+func (f *Fleet) breakGang(r *run) {
+	if r.work.Gang <= 1 {
+		return
+	}
 	for _, m := range f.members(r) {
-		if r.began.IsZero() || !r.stops.IsZero() || r.work.Fails {
+		if m.run != r {
 			m.at.end(m.run, pointport.EndGangBroken)
-		} else {
-			m.at.end(m.run, pointport.EndDone)
-			f.noteDone(m.run.TaskRun, m.at, time.Time{})
 		}
 	}
 }
+
+// finishGang ends the other members of a gang of which one is done. The lock is
+// held.
+func (f *Fleet) finishGang(r *run) {
+	if r.work.Gang <= 1 {
+		return
+	}
+	for _, m := range f.members(r) {
+		m.at.end(m.run, pointport.EndDone)
+		f.noteDone(m.run.TaskRun, m.at)
+	}
+}
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -78,11 +78,12 @@
 		if first == nil || at.After(now) || at.After(lapse) {
 			break
 		}
-		i.finish(first, at)
+		i.finish(first)
 	}
 	if len(i.runs) > 0 && now.After(lapse) {
 		for _, r := range i.sorted() {
 			i.end(r, pointport.EndLapsed)
+			i.fleet.breakGang(r)
 		}
 	}
 }
@@ -111,7 +112,7 @@
 	return out
 }
 
-func (i *incarnation) finish(r *run, at time.Time) {
+func (i *incarnation) finish(r *run) {
 	switch {
 	case !r.stops.IsZero():
 		i.end(r, pointport.EndStopped)
@@ -121,11 +122,11 @@
 		i.end(r, pointport.EndFailed)
 	default:
 		i.end(r, pointport.EndDone)
-		i.fleet.noteDone(r.TaskRun, i, at)
-	}
-	if r.work.Gang > 1 {
-		i.fleet.endGang(r, i)
+		i.fleet.noteDone(r.TaskRun, i)
+		i.fleet.finishGang(r)
+		return
 	}
+	i.fleet.breakGang(r)
 }
 
 // end lists the end of a run.
--- a/workload/job.go
+++ b/workload/job.go
@@ -40,7 +40,8 @@
 	Phase Phase
 	// Run is the number of the last start, zero before the first.
 	Run int
-	// On is the incarnation that a placed task was given to.
+	// On is the incarnation that a placed task was given to, or on which a pending
+	// one has failed last.
 	On pointport.IncarnationID
 	// Failures counts the runs that have failed.
 	Failures int
@@ -216,7 +217,7 @@
 func (j *Job) Fail(ref TaskRef) bool {
 	t := j.Task(ref)
 	t.Failures++
-	j.Return(ref)
+	t.Phase = Pending // and On says where it has failed
 	if j.spec.Steps[ref.Step].Gang {
 		// A gang fails as one.
 		step := j.occurrences[ref.K].Steps[ref.Step]
--- a/workload/keys.go
+++ b/workload/keys.go
@@ -16,7 +16,6 @@
 	recordPrefix   = "job/"
 	openPrefix     = "open/"
 	progressPrefix = "progress/"
-	headPrefix     = "head/"
 	// cancelSuffix marks the key by which a member that cannot reach a pool's
 	// owner tells it of a cancellation. It does not occur in identities.
 	cancelSuffix = "!cancel"
@@ -40,9 +39,6 @@
 // ProgressKey returns the key of an open job's progress.
 func ProgressKey(pool, id string) string { return ProgressPrefix(pool) + id }
 
-// HeadKey returns the key that changes with every write of a pool's owner.
-func HeadKey(pool string) string { return headPrefix + pool }
-
 // ParseOpenKey returns the job that a key under OpenPrefix is about, and
 // whether it is a cancellation.
 func ParseOpenKey(pool, key string) (id string, cancel bool) {
