--- a/schedule/book.go
+++ b/schedule/book.go
@@ -40,6 +40,9 @@
 	stale bool
 	// standing is how pressing the job was at the last plan.
 	standing standing
+	// chains are the chains of work of the job's steps as reckoned at chainsAt.
+	chains   []time.Duration
+	chainsAt time.Time
 	// stalled counts the runs of a task that were stopped because they stood still
 	// or crawled.
 	stalled map[workload.TaskRef]int
@@ -91,6 +94,8 @@
 	gangs map[*gang]struct{}
 	// questions are to be put to the advisor.
 	questions []Question
+	// lowRuns counts the runs of jobs that others may preempt.
+	lowRuns int
 	// scarce holds the labels that waiting tasks require.
 	scarce map[string]bool
 	// soon holds the instances that are to be emptied before long.
@@ -169,6 +174,9 @@
 	}
 	e.runs[ref] = r
 	w.take(r)
+	if e.job.Policy().Priority > 0 {
+		b.lowRuns++
+	}
 	return r
 }
 
@@ -180,6 +188,7 @@
 			since:   now,
 			inc:     pointport.NewIncarnation(id, "", ""),
 			runs:    make(map[string]*Run),
+			steps:   make(map[stepOf]int),
 			expires: b.taken.Add(b.settings.PredecessorBound),
 		}
 		b.workers[id] = w
@@ -314,6 +323,9 @@
 
 // forget removes a run from its job and its worker.
 func (b *Book) forget(r *Run) {
+	if r.worker.runs[r.name] == r && r.entry.job.Policy().Priority > 0 {
+		b.lowRuns--
+	}
 	r.worker.drop(r)
 	if r.entry.runs[r.ref] == r {
 		delete(r.entry.runs, r.ref)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -141,6 +141,7 @@
 		return true
 	}
 	if t.step.MaxPerInstance == 0 && t.step.Label == "" && len(t.entry.wary) == 0 && t.step.DataRack == "" && !t.entry.job.Policy().Advised {
+		p.full = slices.DeleteFunc(p.full, func(f pointport.Shape) bool { return f.Fits(room) })
 		p.full = append(p.full, room)
 	}
 	if t.step.Service {
@@ -242,13 +243,7 @@
 
 // crowd returns how many tasks of the step a worker holds.
 func (b *Book) crowd(t waiting, w *Worker) int {
-	n := 0
-	for _, r := range w.runs {
-		if r.entry == t.entry && r.ref.K == t.ref.K && r.ref.Step == t.ref.Step {
-			n++
-		}
-	}
-	return n
+	return w.steps[stepOf{t.entry, t.ref.K, t.ref.Step}]
 }
 
 const (
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -16,7 +16,7 @@
 	// preemptAfter is for how long a job of priority 0 waits before it takes room
 	// from others: most tasks end within it, and a stopped one has worked in vain.
 	preemptAfter = 600 * time.Millisecond
-	// preemptEvery is the least time between two preemptions for one job.
+	// preemptEvery is the least time between two attempts for one job.
 	preemptEvery = 300 * time.Millisecond
 )
 
@@ -24,7 +24,7 @@
 // worker, where that costs least.
 func (b *Book) preempt(now time.Time, t waiting, workers []*Worker) {
 	e := t.entry
-	if e.job.Policy().Priority != 0 {
+	if e.job.Policy().Priority != 0 || b.lowRuns == 0 {
 		return
 	}
 	if e.starved.IsZero() {
@@ -33,6 +33,7 @@
 	if now.Sub(e.starved) < preemptAfter || now.Sub(e.preempted) < preemptEvery {
 		return
 	}
+	e.preempted = now
 	var best []*Run
 	bestCost := time.Duration(0)
 	for _, w := range workers {
@@ -48,7 +49,6 @@
 		event.RunPreempted.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 			slog.String("incarnation", string(r.worker.inc.ID())), slog.String("by", e.job.ID()))
 		b.stop(now, r, "a job of priority 0 needs its room")
-		e.preempted = now
 	}
 }
 
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -22,6 +22,9 @@
 	// work, which is only estimated.
 	doubtTime  = 80 * time.Millisecond
 	doubtShare = 0.08
+	// reckonEvery is how often a job's chains of work are reckoned anew from what
+	// was learned meanwhile.
+	reckonEvery = 300 * time.Millisecond
 )
 
 // A standing says how pressing a job is; less comes first.
@@ -132,7 +135,10 @@
 	if job.Begun() {
 		s.class = classBegun
 	}
-	chains := b.learned.chains(job.Queue(), job.Spec())
+	if now.Sub(e.chainsAt) > reckonEvery {
+		e.chains, e.chainsAt = b.learned.chains(job.Queue(), job.Spec()), now
+	}
+	chains := e.chains
 	whole := time.Duration(0)
 	for _, c := range chains {
 		whole = max(whole, c)
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -69,6 +69,14 @@
 // TaskRun returns the names under which the instance knows the run.
 func (r *Run) TaskRun() pointport.TaskRun { return pointport.TaskRun{Task: r.name, Run: r.number} }
 
+// A stepOf names a step of one occurrence of one job.
+type stepOf struct {
+	entry   *entry
+	k, step int
+}
+
+func (r *Run) stepOf() stepOf { return stepOf{r.entry, r.ref.K, r.ref.Step} }
+
 func (r *Run) step() *workload.Step { return &r.entry.job.Spec().Steps[r.ref.Step] }
 
 func (r *Run) task() *workload.Task { return r.entry.job.Task(r.ref) }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -28,8 +28,9 @@
 	since time.Time
 	runs  map[string]*Run // by task name
 	free  pointport.Shape // what is left of the capacity
-	// serving counts the runs that are serving tasks.
+	// serving counts the runs that are serving tasks, steps those of each step.
 	serving int
+	steps   map[stepOf]int
 
 	// heard is when the last answer came, zero before the first.
 	heard time.Time
@@ -156,6 +157,7 @@
 // take adds a run and takes its room.
 func (w *Worker) take(r *Run) {
 	w.runs[r.name] = r
+	w.steps[r.stepOf()]++
 	if r.step().Service {
 		w.serving++
 	}
@@ -168,6 +170,9 @@
 		return
 	}
 	delete(w.runs, r.name)
+	if w.steps[r.stepOf()]--; w.steps[r.stepOf()] == 0 {
+		delete(w.steps, r.stepOf())
+	}
 	if r.step().Service {
 		w.serving--
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -42,8 +42,11 @@
 	// to be stored.
 	ackWait = 120 * time.Millisecond
 	// turnGap is the least time between two plans, so that what happens at once
-	// is decided at once.
-	turnGap = 8 * time.Millisecond
+	// is decided at once, and turnGapMost the most: a plan that takes long is made
+	// so much less often that plans take a fifth of the time.
+	turnGap     = 8 * time.Millisecond
+	turnGapMost = 60 * time.Millisecond
+	turnShare   = 5
 	// writeGap is the least time between two batches when something waits for
 	// the next, lazyGap when nothing does. Each batch is a priced call.
 	writeGap = 25 * time.Millisecond
@@ -104,6 +107,7 @@
 	writing  bool
 	wrote    time.Time
 	planned  time.Time
+	turnGap  time.Duration // the least time until the next plan
 	looking  map[*schedule.Worker]*look
 	lanes    map[*schedule.Worker]*lane
 	waiters  []func() // called once the batch being decided is stored
@@ -233,12 +237,14 @@
 // turn plans, writes and sends what is due, and returns when to look again.
 func (o *Owner) turn(ctx context.Context) time.Duration {
 	now := o.clock.Now()
-	if since := now.Sub(o.planned); since < turnGap {
-		return turnGap - since
+	if since := now.Sub(o.planned); since < o.turnGap {
+		return o.turnGap - since
 	}
 	o.planned = now
 	if o.own.Proven(now) {
 		o.book.Plan(now)
+		cost := o.clock.Now().Sub(now)
+		o.turnGap = min(max(turnGap, turnShare*cost), turnGapMost)
 		o.consult(ctx, now)
 		o.write(ctx, now)
 		o.send(ctx)
@@ -261,7 +267,7 @@
 			d = min(d, l.next.Sub(now))
 		}
 	}
-	return max(d, turnGap)
+	return max(d, o.turnGap)
 }
 
 func (o *Owner) gap() time.Duration {
