--- a/node/random_test.go
+++ b/node/random_test.go
@@ -290,7 +290,7 @@
 		time.Sleep(tr.lasts)
 		c.setStoreFate(storeWorks)
 	case "cutInstance":
-		c.setNetwork(func(op string, to pointport.InstanceID) testbed.Fate {
+		c.setNetwork(func(_ string, to pointport.InstanceID) testbed.Fate {
 			return testbed.Fate{Latency: time.Millisecond, Lost: to == id}
 		})
 		time.Sleep(tr.lasts)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -216,10 +216,10 @@
 
 // write makes a change under the steward's ownership. It reports whether the
 // change is known to be made.
-func (s *Steward) write(ctx context.Context, make func(context.Context) error) bool {
+func (s *Steward) write(ctx context.Context, change func(context.Context) error) bool {
 	limited, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := make(limited)
+	err := change(limited)
 	switch {
 	case err == nil:
 		return true
