Take no pool while stopping

Cause: after a planned stop gave its pools away, the session had a new lease granted, the roster enrolled the node again with nothing to do, and so it ranked first for every free pool and took the key without a tenant. Change: a stopped keeper takes nothing and gives back what was taken meanwhile; a leaving member stays out of the roster.

--- a/member/keeper.go
+++ b/member/keeper.go
@@ -89,7 +89,7 @@
 func (k *Keeper[T]) round(ctx context.Context) time.Duration {
 	k.reap()
 	next := keeperTick
-	if !k.roster.Known() {
+	if !k.roster.Known() || k.ended() {
 		return next
 	}
 	now := k.clock.Now()
@@ -99,6 +99,13 @@
 	return max(next, time.Millisecond)
 }
 
+// ended reports whether the keeper was stopped.
+func (k *Keeper[T]) ended() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stopped
+}
+
 // reap forgets the tenants that have ended.
 func (k *Keeper[T]) reap() {
 	k.mu.Lock()
@@ -124,7 +131,7 @@
 	case held && !mineToo && holder.Mine:
 		// Taken by a change whose answer was lost.
 		// It is not proven until it is checked.
-		k.begin(k.roster.own(pool, holder.Fence, holder.Revision, time.Time{}))
+		k.begin(ctx, k.roster.own(pool, holder.Fence, holder.Revision, time.Time{}))
 		return time.Millisecond
 	case mineToo && now.Sub(k.since[pool]) > leastTenure && k.roster.Outweighed():
 		k.giveAway(ctx, mine)
@@ -154,8 +161,13 @@
 func (k *Keeper[T]) giveAway(ctx context.Context, t T) {
 	t.Stop()
 	<-t.Done()
-	if err := k.roster.Release(ctx, t.Ownership()); err != nil {
-		event.PoolUnproven.Log(k.logger, slog.String("pool", t.Ownership().Pool), slog.Any("error", err))
+	k.release(ctx, t.Ownership())
+}
+
+// release gives up an ownership. If that fails, the key goes with the lease.
+func (k *Keeper[T]) release(ctx context.Context, own Ownership) {
+	if err := k.roster.Release(ctx, own); err != nil {
+		event.PoolUnproven.Log(k.logger, slog.String("pool", own.Pool), slog.Any("error", err))
 	}
 }
 
@@ -179,20 +191,33 @@
 		}
 		return rankPause
 	}
-	k.begin(own)
+	k.begin(ctx, own)
 	return keeperTick
 }
 
-func (k *Keeper[T]) begin(own Ownership) {
+// begin starts the tenant of a pool that this member has come to own, or gives
+// the pool up if it was taken while the keeper was being stopped.
+func (k *Keeper[T]) begin(ctx context.Context, own Ownership) {
+	if !k.admit(own) {
+		k.release(ctx, own)
+	}
+}
+
+// admit starts the tenant of a pool; false if the keeper was stopped.
+func (k *Keeper[T]) admit(own Ownership) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, ok := k.tenants[own.Pool]; ok || k.stopped {
-		return
+	if k.stopped {
+		return false
+	}
+	if _, ok := k.tenants[own.Pool]; ok {
+		return true
 	}
 	event.PoolTaken.Log(k.logger, slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence)))
 	delete(k.orphans, own.Pool)
 	k.since[own.Pool] = k.clock.Now()
 	k.tenants[own.Pool] = k.start(own)
+	return true
 }
 
 // Stop ends all tenants and takes no pool any more.
--- a/member/roster.go
+++ b/member/roster.go
@@ -116,6 +116,7 @@
 	owners  map[string]owner
 	known   bool
 	gave    time.Time     // when this member last gave a pool away
+	left    bool          // this member is no peer any more
 	changed chan struct{} // closed and replaced at every change
 }
 
@@ -144,10 +145,25 @@
 	return r
 }
 
+// Leave keeps this member out of the roster from now on. Its peers forget it once
+// its lease ends; while it is in the roster they leave pools to it that it does
+// not take.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+}
+
+func (r *Roster) hasLeft() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
 // enroll puts this member into the roster under its lease.
 func (r *Roster) enroll(ctx context.Context) error {
 	lease := r.session.Lease()
-	if lease == 0 {
+	if lease == 0 || r.hasLeft() {
 		return nil // the grant of a lease wakes the caller
 	}
 	value, err := json.Marshal(r.self)
--- a/node/node.go
+++ b/node/node.go
@@ -230,6 +230,9 @@
 		n.stewards.Stop()
 	}
 	n.keeper.Stop()
+	n.roster.Leave()
+	// The session has a new lease granted, which tells that the store can be
+	// reached while the node still answers; no key goes with it.
 	if err := n.session.End(ctx); err != nil {
 		event.Failed.Log(n.logger, slog.String("part", "lease"), slog.Any("error", err))
 	}
