Give serving tasks a home before they are moved, and pools for them first

Change: a serving task moves only once room elsewhere is promised to it. The survey says how many instances serving tasks miss; such a pool is supplied first after 1.5 s, and after 2.5 s a busy instance of another pool is emptied for it.

--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -30,6 +30,12 @@
 	// listLag is how far the list of machines may be behind what instances say of
 	// themselves.
 	listLag = time.Second
+	// urgentAfter is for how long serving tasks of a pool find no room before it is
+	// supplied first, and claimAfter before a busy instance is emptied for them.
+	// Their customers notice after some six seconds, and emptying and moving an
+	// instance take three.
+	urgentAfter = 1500 * time.Millisecond
+	claimAfter  = 2500 * time.Millisecond
 	// leastInstances is how many instances a pool with a queue keeps.
 	leastInstances = 1
 )
@@ -93,6 +99,8 @@
 	// been chosen to be emptied for a wave.
 	closing  bool
 	emptying time.Time
+	// claimed names the pool that the instance is being emptied for.
+	claimed string
 }
 
 // A Planner decides. It is not safe for concurrent use.
@@ -105,6 +113,8 @@
 	surveyed map[string]bool
 	listed   time.Time // when the newest list was asked for
 	former   map[pointport.InstanceID]FormerOrder
+	// unserved is since when serving tasks of a pool have found no room.
+	unserved map[string]time.Time
 }
 
 // A FormerOrder is what an earlier planner ordered last about a machine. It is
@@ -125,6 +135,7 @@
 	return &Planner{
 		settings: s, machines: make(map[pointport.InstanceID]*machine),
 		waves: make(map[int64]*waveState), surveys: make(map[string]survey), surveyed: make(map[string]bool),
+		unserved: make(map[string]time.Time),
 	}
 }
 
@@ -183,6 +194,11 @@
 // SetSurvey takes in how a pool stands.
 func (p *Planner) SetSurvey(now time.Time, pool string, s schedule.Survey) {
 	p.surveys[pool], p.surveyed[pool] = survey{s, now}, true
+	if s.Unserved == 0 {
+		delete(p.unserved, pool)
+	} else if _, ok := p.unserved[pool]; !ok {
+		p.unserved[pool] = now
+	}
 	loads := make(map[pointport.InstanceID]schedule.InstanceLoad, len(s.Instances))
 	for _, l := range s.Instances {
 		if old, ok := loads[l.Instance]; ok && old.Runs > l.Runs {
@@ -373,7 +389,7 @@
 func (p *Planner) order(now time.Time, d *Decision, m *machine, o Order) {
 	d.Closures[m.pool] = append(d.Closures[m.pool], schedule.Closure{Instance: m.id})
 	m.order, m.ordered, m.answered = &o, now, false
-	m.emptying = time.Time{}
+	m.emptying, m.claimed = time.Time{}, ""
 	d.Orders = append(d.Orders, o)
 }
 
@@ -391,11 +407,23 @@
 	pool string
 	have int // in use or on their way
 	want int
+	// urgent says that serving tasks find no room, or that the pool has no
+	// instance to give them any.
+	urgent bool
 	// idle are the instances that may go: those that were closed for it first,
 	// then the longest idle.
 	idle []*machine
 }
 
+// before reports whether a pool is supplied before another: serving tasks come
+// first, then the pool that misses most.
+func (s *size) before(o *size) bool {
+	if s.urgent != o.urgent {
+		return s.urgent
+	}
+	return s.want-s.have > o.want-o.have
+}
+
 // planSizes moves instances between pools.
 func (p *Planner) planSizes(now time.Time, d *Decision) {
 	sizes := p.sizes(now)
@@ -404,9 +432,7 @@
 		d.Sizes = append(d.Sizes, Size{Pool: s.pool, Have: s.have, Want: s.want, Idle: len(s.idle), Need: v.Need, Waiting: v.Waiting})
 	}
 	spare := p.spares(now)
-	sort.SliceStable(sizes, func(i, k int) bool {
-		return sizes[i].want-sizes[i].have > sizes[k].want-sizes[k].have
-	})
+	sort.SliceStable(sizes, func(i, k int) bool { return sizes[i].before(&sizes[k]) })
 	for i := range sizes {
 		p.supplyLabels(now, d, &sizes[i], sizes, &spare)
 	}
@@ -416,6 +442,7 @@
 				break
 			}
 		}
+		p.claim(now, d, &sizes[i])
 	}
 	for i := range sizes {
 		p.retire(now, d, &sizes[i])
@@ -515,6 +542,44 @@
 	return true
 }
 
+// claim empties a busy instance of another pool for serving tasks that have found
+// no room for some time. One at a time is emptied for a pool.
+func (p *Planner) claim(now time.Time, d *Decision, to *size) {
+	since, ok := p.unserved[to.pool]
+	if !ok || to.have >= to.want || now.Sub(since) < claimAfter {
+		for _, m := range p.machines {
+			if m.claimed == to.pool {
+				m.claimed = ""
+			}
+		}
+		return
+	}
+	if m := p.claimable(now, to.pool); m != nil {
+		m.claimed = to.pool
+		to.have++
+		p.release(now, d, m, to.pool, "serving tasks wait there")
+	}
+}
+
+// claimable returns the instance that is being emptied for a pool already, else
+// the one that is emptied soonest, or nil.
+func (p *Planner) claimable(now time.Time, pool string) *machine {
+	var best *machine
+	for _, m := range p.machines {
+		if m.claimed == pool && m.pool != pool && p.free(now, m) {
+			return m
+		}
+		busy := m.load.Incarnation == m.life && m.load.Runs > 0 && m.load.Serving == 0
+		if m.pool == pool || m.pool == p.spare || m.claimed != "" || m.closing || !p.free(now, m) || !busy {
+			continue
+		}
+		if best == nil || m.load.Runs < best.load.Runs || m.load.Runs == best.load.Runs && m.id < best.id {
+			best = m
+		}
+	}
+	return best
+}
+
 func (p *Planner) release(now time.Time, d *Decision, m *machine, pool, reason string) {
 	if m.load.Closed && m.load.Runs == 0 {
 		p.order(now, d, m, Order{Machine: m.id, Pool: pool, Reason: reason})
@@ -595,9 +660,12 @@
 	if !anywhere {
 		s.want = max(s.want, leastInstances)
 	}
-	if spread := p.surveys[pool].Spread; spread > 0 {
-		s.want = max(s.want, s.have+spread)
+	v := p.surveys[pool]
+	if more := max(v.Spread, v.Unserved+v.Unmoved); more > 0 {
+		s.want = max(s.want, s.have+more)
 	}
+	since, unserved := p.unserved[pool]
+	s.urgent = unserved && now.Sub(since) >= urgentAfter || s.have == 0 && s.want > 0
 	sort.Slice(s.idle, func(i, k int) bool {
 		a, b := s.idle[i], s.idle[k]
 		if a.load.Closed != b.load.Closed {
--- a/capacity/planner_test.go
+++ b/capacity/planner_test.go
@@ -31,13 +31,14 @@
 	serving  map[pointport.InstanceID]int
 	closed   map[pointport.InstanceID]bool
 	need     map[string]int64 // thousandths of a core
+	unserved map[string]int   // instances that serving tasks miss
 	lives    int
 }
 
 func newFleet(perPool int, pools ...string) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), back: make(map[pointport.InstanceID]time.Time), runs: make(map[pointport.InstanceID]int),
-		serving: make(map[pointport.InstanceID]int), closed: make(map[pointport.InstanceID]bool), need: make(map[string]int64),
+		serving: make(map[pointport.InstanceID]int), closed: make(map[pointport.InstanceID]bool), need: make(map[string]int64), unserved: make(map[string]int),
 	}
 	for n := range perPool * len(pools) {
 		m := &pointport.Machine{
@@ -78,7 +79,7 @@
 }
 
 func (f *fleet) survey(pool string) schedule.Survey {
-	s := schedule.Survey{Need: pointport.Shape{CPUMilli: f.need[pool]}}
+	s := schedule.Survey{Need: pointport.Shape{CPUMilli: f.need[pool]}, Unserved: f.unserved[pool]}
 	for _, m := range f.machines {
 		if m.Pool == pool && m.Incarnation != "" {
 			s.Instances = append(s.Instances, schedule.InstanceLoad{
@@ -167,6 +168,61 @@
 	}
 }
 
+// A pool whose serving tasks find no room is supplied before one that misses far
+// more, and with no more than it misses while that is on its way.
+func TestServingTasksAreSuppliedFirst(t *testing.T) {
+	f := newFleet(4, "a", "b", spareName)
+	p := capacity.NewPlanner(settings)
+	for _, m := range f.machines {
+		if m.Pool == "b" {
+			f.runs[m.ID], f.serving[m.ID] = 1, 1
+		}
+	}
+	spare := func(state pointport.MachineState) {
+		for _, m := range f.machines {
+			if m.Pool == spareName {
+				m.State = state
+			}
+		}
+	}
+	f.need["a"], f.need["b"] = 20000, 4000
+	f.unserved["b"] = 1
+	spare(pointport.MachineDown)
+	for range 8 {
+		f.step(p, 250*time.Millisecond, nil)
+	}
+	spare(pointport.MachineUp)
+	f.step(p, 250*time.Millisecond, nil)
+	if a, b := f.count("a"), f.count("b"); a != 7 || b != 5 {
+		t.Errorf("pools have %d and %d instances, want 7 and 5", a, b)
+	}
+}
+
+// If no instance is free for serving tasks that find no room, a busy one of
+// another pool is emptied for them (tippijako-prod quiet-1 --seed 4007: a pool at
+// its peak had taken all, and a service was away for ten seconds).
+func TestBusyInstanceIsClaimedForServingTasks(t *testing.T) {
+	f := newFleet(4, "a", "b")
+	p := capacity.NewPlanner(settings)
+	for _, m := range f.machines {
+		f.runs[m.ID] = 1
+		if m.Pool == "b" {
+			f.serving[m.ID] = 1
+		}
+	}
+	f.need["a"], f.need["b"] = 20000, 4000
+	f.unserved["b"] = 1
+	for range 12 {
+		f.step(p, 250*time.Millisecond, nil)
+		for id := range f.closed {
+			f.runs[id] = 0 // what runs there ends
+		}
+	}
+	if a, b := f.count("a"), f.count("b"); a != 3 || b != 5 {
+		t.Errorf("pools have %d and %d instances, want 3 and 5", a, b)
+	}
+}
+
 func TestInstancesWithALabelAreBroughtIn(t *testing.T) {
 	f := newFleet(3, "a", "b", spareName)
 	for _, m := range f.machines {
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -1,16 +1,14 @@
 package schedule
 
 import (
-	"log/slog"
 	"sort"
 	"time"
 
 	"github.com/pointport/pointport"
-	"github.com/pointport/pointport/event"
 )
 
 // This file defines what the owner of a pool tells whoever moves and maintains
-// instances, and how it empties an instance for that.
+// instances.
 
 // A Closure asks that nothing new be placed on an instance. Its fields are
 // exported because a codec reads and writes them.
@@ -43,6 +41,12 @@
 	// bounds how many of them one instance may hold, or that failed where they
 	// could be.
 	Spread int `json:"spread,omitempty"`
+	// Unserved is how many more instances it takes to hold the serving tasks that
+	// wait and fit on none, even once the tasks there have ended.
+	Unserved int `json:"unserved,omitempty"`
+	// Unmoved is how many more instances it takes beside them to hold the serving
+	// tasks that are to move off closed instances.
+	Unmoved int `json:"unmoved,omitempty"`
 	// Labels says for labels, a rack's among them, how much room is wanted on
 	// instances that have them and found none there.
 	Labels map[string]pointport.Shape `json:"labels,omitempty"`
@@ -98,6 +102,8 @@
 	}
 	s.Need = b.need(now, s.Waiting)
 	s.Spread = b.spread(now)
+	m := b.missingForServing(now)
+	s.Unserved, s.Unmoved = m.waiting, m.moving
 	for _, w := range b.workers {
 		if w.ended || w.inc.Instance() == "" || !w.listed && len(w.runs) == 0 {
 			continue
@@ -200,52 +206,3 @@
 	}
 	return sum
 }
-
-// atWork is the progress at which a serving task serves, in percent.
-const atWork = 100
-
-// inheritRest is for how long a new owner moves no serving task: one that its
-// predecessor has just ordered to stop still looks as if it were at work.
-const inheritRest = 1500 * time.Millisecond
-
-// relocate stops serving tasks on workers that are being emptied, as far as
-// their steps allow; they are placed elsewhere at once.
-func (b *Book) relocate(now time.Time) {
-	if now.Sub(b.taken) < inheritRest {
-		return
-	}
-	for _, w := range b.workers {
-		if !w.evacuating || !w.closed(now) || w.ended {
-			continue
-		}
-		for _, r := range w.runs {
-			if r.step().Service && !r.stopping && r.state == runLive && b.mayMiss(r) {
-				event.ServingMoved.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
-					slog.String("incarnation", string(w.inc.ID())))
-				b.stop(now, r, "its instance is being emptied")
-			}
-		}
-	}
-}
-
-// mayMiss reports whether a serving task may be taken away for a moment: fewer
-// of its step's other tasks than may be missing are not at work.
-func (b *Book) mayMiss(r *Run) bool {
-	o := r.entry.job.Occurrence(r.ref.K)
-	if o == nil {
-		return true
-	}
-	away := 0
-	for i := range o.Steps[r.ref.Step] {
-		ref := r.ref
-		ref.Index = i
-		if i == r.ref.Index {
-			continue
-		}
-		other := r.entry.runs[ref]
-		if other == nil || other.state != runLive || other.stopping || other.progress < atWork || other.worker.silent {
-			away++
-		}
-	}
-	return away < max(1, r.step().MayMiss)
-}
