Measure events and calls, bound the lines of each event, trace a job from logs

Cause: on the users' platform a node served no figures, log lines were bounded only in bytes, and nothing put the lines of several processes together.

--- a/cli/all.go
+++ b/cli/all.go
@@ -12,7 +12,7 @@
 func OperatorGroups() []Group {
 	return []Group{
 		{"commands", []*Command{Apply(), Delete(), Wave(), Job()}},
-		{"queries", []*Command{Get(), Status(), Audit(), Explain(), Plan()}},
+		{"queries", []*Command{Get(), Status(), Audit(), Explain(), Plan(), Trace()}},
 		{"trials", []*Command{Standin(), Load(), Evaluate()}},
 	}
 }
--- a/cli/join.go
+++ b/cli/join.go
@@ -16,6 +16,7 @@
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/meter"
 	"github.com/pointport/pointport/node"
 	"github.com/pointport/pointport/platform"
 	"github.com/pointport/pointport/shard"
@@ -40,7 +41,9 @@
 func Join() *Command {
 	c := newCommand("join", "", "run an entry instance on the users' platform")
 	var path string
+	var metricsPort int
 	c.set.String(&path, "settings", "", "path of the settings file that the platform lays")
+	c.set.Int(&metricsPort, "metrics-port", 0, "port on which figures are served at the process's own IP address; 0 takes the second of the internal ports", 0, 65535)
 	c.run = func(ctx context.Context, _ io.Writer, args []string) error {
 		if err := need(args, 0, "no arguments"); err != nil {
 			return err
@@ -49,11 +52,14 @@
 		if err != nil {
 			return err
 		}
+		if metricsPort != 0 {
+			s.SetMetricsPort(metricsPort)
+		}
 		work, cancel := context.WithCancel(ctx)
 		defer cancel()
-		sink := event.StartSink(os.Stdout)
+		sink := event.StartSink(os.Stdout, clock.System{})
 		defer sink.Close()
-		n, err := join(work, s, slog.New(slog.NewJSONHandler(sink, nil)).With(slog.String("node", s.Name)))
+		n, err := join(work, s, sink)
 		if err != nil {
 			return err
 		}
@@ -101,14 +107,17 @@
 }
 
 // join starts a node on the services that the settings name.
-func join(ctx context.Context, s *platform.Settings, logger *slog.Logger) (*node.Node, error) {
+func join(ctx context.Context, s *platform.Settings, sink *event.Sink) (*node.Node, error) {
+	figures := meter.New(clock.System{})
+	limit := event.NewLimit(slog.NewJSONHandler(sink, nil), clock.System{})
+	logger := slog.New(figures.Events(limit)).With(slog.String("node", s.Name))
 	debug.SetGCPercent(garbagePercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	services := node.Services{
-		KV:       platform.NewStore(s.Store),
-		Executor: platform.NewExecutor(),
+		KV:       figures.KV(platform.NewStore(s.Store)),
+		Executor: figures.Executor(platform.NewExecutor()),
 		Clock:    clock.System{},
 		Config: node.Source[*workload.Catalog]{
 			Prefix: platform.ConfigKey,
@@ -126,11 +135,12 @@
 		},
 	}
 	if s.Machines != "" {
-		services.Machines = platform.NewMachines(s.Machines)
+		services.Machines = figures.Machines(platform.NewMachines(s.Machines))
 	}
 	if s.Advisor != "" {
-		services.Advisor = platform.NewAdvisor(s.Advisor)
+		services.Advisor = figures.Advisor(platform.NewAdvisor(s.Advisor))
 	}
+	services.Metrics = figures.Handler()
 	n, err := node.Start(ctx, services, node.Parameters{
 		Name: s.Name, Zone: s.Zone, Strength: strength(s),
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
@@ -140,6 +150,27 @@
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
+		return nil, err
+	}
+	gauges(figures, n, limit, sink)
+	return n, nil
+}
+
+// gauges adds the figures that are read from the node when they are asked for.
+func gauges(m *meter.Meter, n *node.Node, limit *event.Limit, sink *event.Sink) {
+	truth := func(is func() bool) func() float64 {
+		return func() float64 {
+			if is() {
+				return 1
+			}
+			return 0
+		}
 	}
-	return n, err
+	m.Gauge("pointport_config_version", "Version of the configuration in force.", func() float64 { return float64(n.ConfigVersion()) })
+	m.Gauge("pointport_ready", "Whether the balancer should send new connections.", truth(n.Ready))
+	m.Gauge("pointport_lease_proven", "Whether the lease at the store has surely not ended.", truth(n.Proven))
+	m.Gauge("pointport_members", "Entry instances that this one knows, itself among them.", func() float64 { return float64(n.Members()) })
+	m.Gauge("pointport_pools_owned", "Pools that this entry instance owns, the steward's post among them.", func() float64 { return float64(n.Owned()) })
+	m.Counter("pointport_log_lines_left_out_total", "Lines left out because there were too many of their event.", func() float64 { return float64(limit.LeftOut()) })
+	m.Counter("pointport_log_lines_dropped_total", "Lines dropped because the log took no more.", func() float64 { return float64(sink.Dropped()) })
 }
--- /dev/null
+++ b/cli/trace.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pointport/pointport/trace"
+)
+
+// This file defines the subcommand that tells what became of a job from logs
+// alone.
+
+// Trace returns the subcommand that tells the story of a job.
+func Trace() *Command {
+	c := newCommand("trace", "JOB", "tell what became of a job from the logs of entry instances")
+	var logs string
+	c.set.String(&logs, "logs", "", "log files, separated by commas; standard input if there is none")
+	c.run = func(_ context.Context, out io.Writer, args []string) error {
+		if err := need(args, 1, "the identity of a job"); err != nil {
+			return err
+		}
+		log, err := readLogs(logs)
+		if err != nil {
+			return err
+		}
+		story := log.Of(args[0])
+		return story.Write(out)
+	}
+	return c
+}
+
+// readLogs reads log files whose paths have commas between them, or standard
+// input if there is none.
+func readLogs(paths string) (*trace.Log, error) {
+	log := &trace.Log{}
+	if paths == "" {
+		return log, log.Read(os.Stdin)
+	}
+	for _, path := range strings.Split(paths, ",") {
+		if err := readLog(log, path); err != nil {
+			return nil, fmt.Errorf("log %s: %w", path, err)
+		}
+	}
+	return log, nil
+}
+
+func readLog(log *trace.Log, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return log.Read(f)
+}
--- a/event/sink.go
+++ b/event/sink.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/pointport/pointport"
 )
 
 // This file defines the sink: it takes log lines without ever blocking, and
@@ -23,24 +25,25 @@
 // concurrent use.
 type Sink struct {
 	out   io.Writer
-	every time.Duration
+	clock pointport.Clock
 
 	mu      sync.Mutex
 	waiting []byte
 	spare   []byte
-	dropped int
+	dropped int   // since lines were last written
+	lost    int64 // in all
 	wake    chan struct{}
 	closed  bool
 	done    chan struct{}
 }
 
 // StartSink returns a sink that writes to out until Close.
-func StartSink(out io.Writer) *Sink {
-	s := &Sink{out: out, every: sinkEvery, wake: make(chan struct{}, 1), done: make(chan struct{})}
+func StartSink(out io.Writer, clock pointport.Clock) *Sink {
+	s := &Sink{out: out, clock: clock, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		for range s.wake {
-			time.Sleep(s.every)
+			<-s.clock.After(sinkEvery)
 			s.flush()
 		}
 		s.flush()
@@ -54,6 +57,7 @@
 	defer s.mu.Unlock()
 	if s.closed || len(s.waiting)+len(line) > sinkBytes {
 		s.dropped++
+		s.lost++
 		return len(line), nil
 	}
 	s.waiting = append(s.waiting, line...)
@@ -64,6 +68,13 @@
 	return len(line), nil
 }
 
+// Dropped returns how many lines were dropped.
+func (s *Sink) Dropped() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // flush writes what waits, and says how many lines were dropped.
 func (s *Sink) flush() {
 	s.mu.Lock()
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -93,10 +93,15 @@
 
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
 
-// Submit accepts a job. It fails with a *RefusedError or an *UnsureError.
+// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError or an
+// *UnsureError.
 func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
+	if err := spec.Check(); err != nil {
+		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
+		return err
+	}
 	if !d.reachable() {
-		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("reason", "store unreachable"))
+		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Bool("sure", true), slog.String("reason", "store unreachable"))
 		return &RefusedError{ID: id, After: retryAfter, Cause: "the store gives no answer"}
 	}
 	now := d.clock.Now()
@@ -117,7 +122,8 @@
 	}
 	at, err := d.commit(ctx, id, txn)
 	if err != nil {
-		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("reason", err))
+		var unsure *UnsureError
+		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
 		return err
 	}
 	event.JobAccepted.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("pool", q.Pool),
@@ -160,9 +166,22 @@
 // Status returns how a job stands. It fails with an *UnknownJobError if there is
 // no such job.
 func (d *Desk) Status(ctx context.Context, q *workload.Queue, id string) (workload.Status, error) {
-	if s, known, err := d.owners.Status(ctx, q.Pool, id); err == nil && known {
-		return s, nil
+	status, known, ownerErr := d.owners.Status(ctx, q.Pool, id)
+	if ownerErr == nil && known {
+		return status, nil
 	}
+	status, err := d.storedStatus(ctx, q, id)
+	if err != nil {
+		d.logUnknown(err, q, id, "status")
+		return "", err
+	}
+	event.StatusRead.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("state", string(status)), slog.Any("reason", ownerErr))
+	return status, nil
+}
+
+// storedStatus returns how a job stands by the store, or by the owner of the pool
+// that it was accepted for if its queue has gone to another since.
+func (d *Desk) storedStatus(ctx context.Context, q *workload.Queue, id string) (workload.Status, error) {
 	record, err := d.record(ctx, id)
 	if err != nil {
 		return "", err
@@ -185,6 +204,14 @@
 	return workload.Queued, nil
 }
 
+// logUnknown notes that a customer is told that there is no such job.
+func (d *Desk) logUnknown(err error, q *workload.Queue, id, asked string) {
+	var unknown *UnknownJobError
+	if errors.As(err, &unknown) {
+		event.JobUnknown.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("asked", asked))
+	}
+}
+
 func (d *Desk) record(ctx context.Context, id string) (workload.Record, error) {
 	e, err := d.kv.Get(ctx, workload.RecordKey(id))
 	if err != nil {
@@ -206,7 +233,9 @@
 	record, err := d.record(ctx, id)
 	var unknown *UnknownJobError
 	if errors.As(err, &unknown) {
-		return d.bury(ctx, q, id)
+		err := d.bury(ctx, q, id)
+		d.logUnknown(err, q, id, "cancel")
+		return err
 	}
 	if err != nil {
 		return err
@@ -214,7 +243,6 @@
 	if record.Ended != "" {
 		return nil
 	}
-	event.JobCancelled.Log(d.logger, slog.String("job", id), slog.String("by", "store"))
 	return d.leaveCancel(ctx, record.Pool, id)
 }
 
@@ -224,6 +252,7 @@
 	for {
 		_, err := d.kv.Commit(ctx, txn)
 		if err == nil {
+			event.JobCancelled.Log(d.logger, slog.String("job", id), slog.String("by", "store"))
 			return nil
 		}
 		select {
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -84,6 +84,13 @@
 	return t, ok
 }
 
+// Count returns how many tenants this member has.
+func (k *Keeper[T]) Count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.tenants)
+}
+
 // round ends tenants that own nothing any more and takes what is free. It
 // returns when to look again.
 func (k *Keeper[T]) round(ctx context.Context) time.Duration {
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,125 @@
+package meter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the meter and its figures. docs/operators/job-metrics.md
+// lists them.
+
+// The buckets of the histograms, in seconds. The store answers in 4 ms and in a
+// quarter of a second when it is slow; orders time out after 0.4 s; jobs take
+// from one second to a minute.
+var (
+	callBuckets  = []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+	eventBuckets = []float64{.01, .05, .1, .25, .5, 1, 2.5, 5, 10, 20, 60}
+)
+
+// A Meter holds an entry instance's figures. It is safe for concurrent use.
+type Meter struct {
+	registry     *prometheus.Registry
+	clock        pointport.Clock
+	events       *prometheus.CounterVec
+	eventSeconds *prometheus.HistogramVec
+	calls        *prometheus.CounterVec
+	callSeconds  *prometheus.HistogramVec
+	byNumber     map[int]*eventFigures
+}
+
+// New returns a meter.
+func New(clock pointport.Clock) *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		clock:    clock,
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pointport_events_total", Help: "Events by their name and, where the event tells one, the outcome.",
+		}, []string{"event", "outcome"}),
+		eventSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pointport_event_seconds", Help: "Times that events tell of, such as from a job's acceptance to its end.", Buckets: eventBuckets,
+		}, []string{"event", "outcome"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pointport_calls_total", Help: "Calls by whom they go to, what they ask and what the answer was.",
+		}, []string{"to", "call", "answer"}),
+		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pointport_call_seconds", Help: "Time to the answer of a call, without the time that it asked the other side to wait.", Buckets: callBuckets,
+		}, []string{"to", "call"}),
+	}
+	m.registry.MustRegister(m.events, m.eventSeconds, m.calls, m.callSeconds,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.byNumber = m.eventFigures()
+	return m
+}
+
+// Gauge adds a figure that is read whenever the figures are asked for.
+func (m *Meter) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// Counter adds a count that is read whenever the figures are asked for.
+func (m *Meter) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
+// Handler serves the figures.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// The sides that are called.
+const (
+	toStore    = "store"
+	toInstance = "instance"
+	toMachines = "machines"
+	toAdvisor  = "advisor"
+)
+
+// call takes in a call that began at from and waited on purpose for up to wait.
+func (m *Meter) call(to, call string, from time.Time, wait time.Duration, err error) {
+	m.calls.WithLabelValues(to, call, answerOf(err)).Inc()
+	if wait == 0 {
+		m.callSeconds.WithLabelValues(to, call).Observe(m.clock.Now().Sub(from).Seconds())
+	}
+}
+
+// answerOf names what came of a call.
+func answerOf(err error) string {
+	var (
+		rejected    *pointport.RejectedError
+		refused     *pointport.MachineRefusedError
+		conflict    *pointport.TxnConflictError
+		ended       *pointport.LeaseEndedError
+		compacted   *pointport.CompactedError
+		gone        *pointport.GoneError
+		unavailable *pointport.UnavailableError
+	)
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &rejected):
+		return "rejected-" + string(rejected.Reason)
+	case errors.As(err, &refused):
+		return "refused-" + string(refused.Reason)
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &ended):
+		return "lease-ended"
+	case errors.As(err, &compacted):
+		return "compacted"
+	case errors.As(err, &gone):
+		return "other-incarnation"
+	case errors.Is(err, context.Canceled):
+		return "given-up"
+	case errors.As(err, &unavailable) && unavailable.Ambiguous:
+		return "effect-unknown"
+	}
+	return "unavailable"
+}
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,9 @@
 	servers  []*http.Server
 	clients  *http.Server
 	leaving  atomic.Bool
-	stopOnce sync.Once
+	// toldReady is what the balancer was told last.
+	toldReady atomic.Bool
+	stopOnce  sync.Once
 }
 
 // Start starts a node whose background work ends with ctx.
@@ -210,11 +212,40 @@
 }
 
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !n.Ready() {
+	ready := n.Ready()
+	if n.toldReady.Swap(ready) != ready {
+		event.ReadyChanged.Log(n.logger, slog.Bool("ready", ready), slog.Int64("version", n.ConfigVersion()),
+			slog.Bool("store", n.session.Proven()), slog.Bool("leaving", n.leaving.Load()))
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// ConfigVersion returns the version of the configuration in force, zero while
+// there is none.
+func (n *Node) ConfigVersion() int64 {
+	if k := n.configs.Catalog(); k != nil {
+		return k.Version
+	}
+	return 0
+}
+
+// Proven reports whether the node's lease at the store has surely not ended.
+func (n *Node) Proven() bool { return n.session.Proven() }
+
+// Members returns how many members the node knows, itself among them.
+func (n *Node) Members() int { return len(n.roster.Peers()) + 1 }
+
+// Owned returns how many pools the node owns, and the steward's post as one.
+func (n *Node) Owned() int {
+	owned := n.keeper.Count()
+	if n.stewards != nil {
+		owned += n.stewards.Count()
+	}
+	return owned
+}
+
 // Stop ends the node as planned: its pools go to others at once, and it goes on
 // answering until the balancer has noticed.
 func (n *Node) Stop() {
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -70,7 +70,8 @@
 		delete(b.hungry, e)
 		delete(b.recurring, e)
 		event.JobEnded.Log(b.logger, slog.String("job", e.job.ID()), slog.String("queue", e.job.Queue()),
-			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.Submitted())))
+			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.Submitted())),
+			slog.Duration("objective", b.objective(e)))
 	}
 	for _, r := range batch.starts {
 		if r.worker.runs[r.name] != r || r.state != runDecided {
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -55,6 +55,9 @@
 	// starved is since when the job has found no room, preempted when it last
 	// took some from others.
 	starved, preempted time.Time
+	// begun says that the job is known to have begun, by this owner's doing or
+	// before it.
+	begun bool
 	// ended is the state in which the job is over, empty while it is not.
 	ended workload.Status
 }
@@ -131,7 +134,7 @@
 	if _, ok := b.over[j.ID()]; ok {
 		return false
 	}
-	e := &entry{job: j, runs: make(map[workload.TaskRef]*Run)}
+	e := &entry{job: j, runs: make(map[workload.TaskRef]*Run), begun: j.Begun()}
 	b.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 {
 		b.arrivals.add(now, j, b.learned)
@@ -416,6 +419,11 @@
 	}
 	r.inherited = r.state == runInherited
 	r.state, r.liveAt = runLive, now
+	if !r.entry.begun && !r.inherited {
+		r.entry.begun = true
+		event.JobBegun.Log(b.logger, slog.String("job", r.entry.job.ID()), slog.String("task", r.name), slog.Int("run", r.number),
+			slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.entry.job.Submitted())))
+	}
 }
 
 // stray stops a run that no task of the book is placed as.
@@ -468,7 +476,7 @@
 	}
 	event.RunEnded.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(w.inc.ID())), slog.String("how", string(end.Kind)),
-		slog.Duration("after", now.Sub(r.placedAt)))
+		slog.Duration("after", now.Sub(r.placedAt)), slog.Duration("startedAfter", r.startedAfter()))
 	if r.detached() {
 		b.forget(r)
 		b.copyEnded(now, end)
@@ -516,7 +524,9 @@
 		b.learned.observe(r.entry.job.Queue(), r.step(), now.Sub(r.liveAt))
 		r.entry.note(stepKey{r.ref.K, r.ref.Step}, now.Sub(r.liveAt))
 	}
-	r.worker.health.succeeded()
+	if r.worker.health.succeeded() {
+		event.SoundWorker.Log(b.logger, slog.String("incarnation", string(r.worker.inc.ID())))
+	}
 	b.forget(r)
 	t := r.task()
 	if t == nil || t.Phase == workload.Done {
--- a/schedule/gang.go
+++ b/schedule/gang.go
@@ -103,7 +103,7 @@
 			number = max(number, t.entry.job.Task(t.ref).Run)
 		}
 		for n, t := range tasks {
-			p.book.placeAs(p.now, t, chosen[n], number+1)
+			p.book.placeAs(p.now, t, chosen[n], number+1, len(workers))
 		}
 		t := tasks[0]
 		p.book.gangs[&gang{entry: t.entry, k: t.ref.K, step: t.ref.Step, number: number + 1, since: p.now}] = struct{}{}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -28,8 +28,13 @@
 	span     time.Duration
 }
 
-// succeeded takes in that a run on the worker has ended well.
-func (h *health) succeeded() { *h = health{} }
+// succeeded takes in that a run on the worker has ended well. It reports whether
+// the worker was avoided before.
+func (h *health) succeeded() bool {
+	suspected := h.failures >= failuresToAvoid
+	*h = health{}
+	return suspected
+}
 
 // failed takes in that a run on the worker has failed. It reports whether the
 // worker is avoided from now on.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -137,7 +137,7 @@
 	}
 	w := p.choose(t)
 	if w != nil {
-		p.book.placeAs(p.now, t, w, t.entry.job.Task(t.ref).Run+1)
+		p.book.placeAs(p.now, t, w, t.entry.job.Task(t.ref).Run+1, len(p.workers))
 		return true
 	}
 	if t.step.MaxPerInstance == 0 && t.step.Label == "" && len(t.entry.wary) == 0 && t.step.DataRack == "" && !t.entry.job.Policy().Advised {
@@ -295,9 +295,9 @@
 	return float64(part) / float64(whole)
 }
 
-// placeAs gives a task to a worker under a run number; it is sent once that is
-// stored.
-func (b *Book) placeAs(now time.Time, t waiting, w *Worker, number int) {
+// placeAs gives a task to a worker, one of some candidates, under a run number; it
+// is sent once that is stored.
+func (b *Book) placeAs(now time.Time, t waiting, w *Worker, number, candidates int) {
 	t.entry.job.Place(t.ref, w.inc.ID(), number)
 	r := b.newRun(now, t.entry, t.ref, w, number, runDecided)
 	r.ticket = b.ticketFor(t, w)
@@ -307,7 +307,8 @@
 	b.decided = append(b.decided, r)
 	b.touch(t.entry, true)
 	event.TaskPlaced.Log(b.logger, slog.String("task", r.name), slog.Int("run", number),
-		slog.String("incarnation", string(w.inc.ID())), slog.Int64("freeCPUMilli", w.free.CPUMilli))
+		slog.String("incarnation", string(w.inc.ID())), slog.Int64("freeCPUMilli", w.free.CPUMilli), slog.Int("candidates", candidates),
+		slog.Int("class", t.entry.standing.class), slog.Duration("expected", b.learned.duration(t.entry.job.Queue(), t.step)))
 }
 
 // A waiting task is one whose turn has come.
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -76,6 +76,20 @@
 	return out
 }
 
+// allowance returns how long a job may take whose longest chain of work is whole.
+func allowance(p workload.Policy, whole time.Duration) time.Duration {
+	return time.Duration(p.Stretch*float64(whole)) + p.Target
+}
+
+// objective returns how long a job should take, by what is known of its work.
+func (b *Book) objective(e *entry) time.Duration {
+	whole := time.Duration(0)
+	for _, c := range b.learned.chains(e.job.Queue(), e.job.Spec()) {
+		whole = max(whole, c)
+	}
+	return allowance(e.job.Policy(), whole)
+}
+
 // refresh lists the tasks of a job whose turn has come, if that has changed.
 func (b *Book) refresh(e *entry) {
 	if !e.stale {
@@ -152,9 +166,7 @@
 	if due := job.Spec().Due(first.K); !due.IsZero() {
 		from = due
 	}
-	p := job.Policy()
-	deadline := from.Add(time.Duration(p.Stretch*float64(whole)) + p.Target)
-	s.latest = deadline.Add(-left)
+	s.latest = from.Add(allowance(job.Policy(), whole) - left)
 	if now.Add(doubtTime + time.Duration(doubtShare*float64(left))).After(s.latest) {
 		s.class = classLate
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -79,4 +79,13 @@
 
 func (r *Run) step() *workload.Step { return &r.entry.job.Spec().Steps[r.ref.Step] }
 
+// startedAfter returns how long after its placement the run was known to run, zero
+// if it never was.
+func (r *Run) startedAfter() time.Duration {
+	if r.liveAt.IsZero() {
+		return 0
+	}
+	return r.liveAt.Sub(r.placedAt)
+}
+
 func (r *Run) task() *workload.Task { return r.entry.job.Task(r.ref) }
