--- a/intake/desk.go
+++ b/intake/desk.go
@@ -31,9 +31,9 @@
 	// unsureRetry is how long to wait before a change without an answer is sent
 	// again.
 	unsureRetry = 40 * time.Millisecond
-	// retryAfter is when a refused customer should come back: an outage of the
+	// RetryAfter is when a refused customer should come back: an outage of the
 	// store lasts seconds.
-	retryAfter = time.Second
+	RetryAfter = time.Second
 )
 
 // An Owners reaches the owners of pools, wherever they are.
@@ -45,6 +45,9 @@
 	Cancel(ctx context.Context, pool, id string) (bool, error)
 	// Status asks a pool's owner for a job; false if it does not know the job.
 	Status(ctx context.Context, pool, id string) (workload.Status, bool, error)
+	// Keep has a peer keep a job and returns the peer's name. It fails with a
+	// *RefusedError or an *UnsureError.
+	Keep(ctx context.Context, s Submission) (peer string, err error)
 	// Waiting asks a pool's owner how many jobs of a queue have not begun.
 	Waiting(ctx context.Context, pool, queue string) (int, error)
 }
@@ -93,76 +96,6 @@
 
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
 
-// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError or an
-// *UnsureError.
-func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
-	if err := spec.Check(); err != nil {
-		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
-		return err
-	}
-	if !d.reachable() {
-		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Bool("sure", true), slog.String("reason", "store unreachable"))
-		return &RefusedError{ID: id, After: retryAfter, Cause: "the store gives no answer"}
-	}
-	now := d.clock.Now()
-	accepted, err := workload.New(id, q.Name, q.Policy, spec, now).EncodeAccepted()
-	if err != nil {
-		return err
-	}
-	record, err := workload.Record{Pool: q.Pool, Queue: q.Name}.Encode()
-	if err != nil {
-		return err
-	}
-	txn := pointport.Txn{
-		If: []pointport.Condition{{Key: workload.RecordKey(id)}},
-		Put: []pointport.Put{
-			{Key: workload.RecordKey(id), Value: record},
-			{Key: workload.OpenKey(q.Pool, id), Value: accepted},
-		},
-	}
-	at, err := d.commit(ctx, id, txn)
-	if err != nil {
-		var unsure *UnsureError
-		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
-		return err
-	}
-	event.JobAccepted.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("pool", q.Pool),
-		slog.Bool("known", at == 0), slog.Duration("took", d.clock.Now().Sub(now)))
-	if at != 0 {
-		d.owners.Submitted(q.Pool, id, accepted, at)
-	}
-	return nil
-}
-
-// commit makes a change that takes an identity, and returns its revision. The
-// revision is zero if the identity was taken before: by an earlier submission,
-// or by a sending of this one whose answer was lost. Which it was does not
-// matter, since the owner sees the job in the store.
-func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (pointport.Revision, error) {
-	unsure := false
-	for {
-		at, err := d.kv.Commit(ctx, txn)
-		if err == nil {
-			return at, nil
-		}
-		var conflict *pointport.TxnConflictError
-		if errors.As(err, &conflict) {
-			return 0, nil
-		}
-		var unavailable *pointport.UnavailableError
-		ambiguous := !errors.As(err, &unavailable) || unavailable.Ambiguous
-		unsure = unsure || ambiguous
-		if !unsure {
-			return 0, &RefusedError{ID: id, After: retryAfter, Cause: err.Error()}
-		}
-		select {
-		case <-d.clock.After(unsureRetry):
-		case <-ctx.Done():
-			return 0, &UnsureError{ID: id, Err: err}
-		}
-	}
-}
-
 // Status returns how a job stands. It fails with an *UnknownJobError if there is
 // no such job.
 func (d *Desk) Status(ctx context.Context, q *workload.Queue, id string) (workload.Status, error) {
--- /dev/null
+++ b/intake/submit.go
@@ -0,0 +1,134 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file defines how a job is accepted or refused.
+
+// A Submission is a job that is to be kept. Its fields are exported because a
+// codec reads and writes them.
+type Submission struct {
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	Pool  string `json:"pool"`
+	// Accepted is the stored form of the job.
+	Accepted json.RawMessage `json:"accepted"`
+}
+
+// txn returns the change that keeps the job if its identity is not taken.
+func (s Submission) txn() (pointport.Txn, error) {
+	record, err := workload.Record{Pool: s.Pool, Queue: s.Queue}.Encode()
+	if err != nil {
+		return pointport.Txn{}, err
+	}
+	return pointport.Txn{
+		If: []pointport.Condition{{Key: workload.RecordKey(s.ID)}},
+		Put: []pointport.Put{
+			{Key: workload.RecordKey(s.ID), Value: record},
+			{Key: workload.OpenKey(s.Pool, s.ID), Value: s.Accepted},
+		},
+	}, nil
+}
+
+// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError or an
+// *UnsureError.
+func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
+	if err := spec.Check(); err != nil {
+		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
+		return err
+	}
+	accepted, err := workload.New(id, q.Name, q.Policy, spec, d.clock.Now()).EncodeAccepted()
+	if err != nil {
+		return err
+	}
+	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, Accepted: accepted}
+	err = d.Keep(ctx, s)
+	var refused *RefusedError
+	var unsure *UnsureError
+	if errors.As(err, &refused) || errors.As(err, &unsure) && ctx.Err() == nil {
+		err = d.handOn(ctx, s, err)
+	}
+	if err != nil {
+		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name),
+			slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
+	}
+	return err
+}
+
+// handOn has a peer keep a job that this member could not. cause is why; if it
+// leaves open whether the job is kept, only an acceptance makes that sure.
+func (d *Desk) handOn(ctx context.Context, s Submission, cause error) error {
+	peer, err := d.owners.Keep(ctx, s)
+	var unsure *UnsureError
+	switch {
+	case err == nil:
+		event.JobHandedOn.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause))
+		return nil
+	case errors.As(cause, &unsure):
+		return cause
+	}
+	return err
+}
+
+// Keep stores a job without asking anybody else to. It fails with a *RefusedError
+// or an *UnsureError.
+func (d *Desk) Keep(ctx context.Context, s Submission) error {
+	if !d.reachable() {
+		return &RefusedError{ID: s.ID, After: RetryAfter, Cause: "the store gives no answer"}
+	}
+	now := d.clock.Now()
+	txn, err := s.txn()
+	if err != nil {
+		return err
+	}
+	at, err := d.commit(ctx, s.ID, txn)
+	if err != nil {
+		return err
+	}
+	event.JobAccepted.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool),
+		slog.Bool("known", at == 0), slog.Duration("took", d.clock.Now().Sub(now)))
+	if at != 0 {
+		d.owners.Submitted(s.Pool, s.ID, s.Accepted, at)
+	}
+	return nil
+}
+
+// commit makes a change that takes an identity, and returns its revision. The
+// revision is zero if the identity was taken before: by an earlier submission,
+// or by a sending of this one whose answer was lost. Which it was does not
+// matter, since the owner sees the job in the store.
+func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (pointport.Revision, error) {
+	unsure := false
+	for {
+		at, err := d.kv.Commit(ctx, txn)
+		if err == nil {
+			return at, nil
+		}
+		var conflict *pointport.TxnConflictError
+		if errors.As(err, &conflict) {
+			return 0, nil
+		}
+		var unavailable *pointport.UnavailableError
+		ambiguous := !errors.As(err, &unavailable) || unavailable.Ambiguous
+		unsure = unsure || ambiguous
+		if !unsure {
+			return 0, &RefusedError{ID: id, After: RetryAfter, Cause: err.Error()}
+		}
+		if !d.reachable() {
+			return 0, &UnsureError{ID: id, Err: err}
+		}
+		select {
+		case <-d.clock.After(unsureRetry):
+		case <-ctx.Done():
+			return 0, &UnsureError{ID: id, Err: err}
+		}
+	}
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -198,7 +199,7 @@
 	to, cut := c.nodes[name], c.peersCut[name]
 	c.mu.Unlock()
 	if to == nil || cut {
-		return nil, errors.New("no route to " + name)
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("no route to " + name)}
 	}
 	time.Sleep(time.Millisecond)
 	recorder := httptest.NewRecorder()
@@ -275,6 +276,16 @@
 	c.network = n
 }
 
+// cutPeers has questions to the nodes named, and to no other, go astray.
+func (c *cluster) cutPeers(names ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.peersCut)
+	for _, name := range names {
+		c.peersCut[name] = true
+	}
+}
+
 // storeWorks is the fate of calls to a store without faults.
 func storeWorks(string, string) memory.Fault { return memory.FaultNone }
 
--- /dev/null
+++ b/node/handon_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport/intake"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file tests what becomes of jobs that come to a node that the store does not
+// serve.
+
+// turnedAway has calls of some nodes to the store fail in a way.
+func turnedAway(fault memory.Fault, names ...string) func(node, op string) memory.Fault {
+	return func(node, _ string) memory.Fault {
+		for _, name := range names {
+			if node == name {
+				return fault
+			}
+		}
+		return memory.FaultNone
+	}
+}
+
+// A node that the store turns away, or gives no answer, has a peer keep the jobs
+// that come to it (tippijako-prod inc-f050: 75 jobs were refused by three nodes
+// while six others could have kept them).
+func TestNodeWithoutStoreHandsJobsOn(t *testing.T) {
+	for name, fault := range map[string]memory.Fault{"refused": memory.FaultBefore, "no answer": memory.FaultLostCall, "late": memory.FaultLate} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 4, func(c *cluster) {
+				n := c.nodes["n0"].node
+				q := queue(t, n, "shift-close")
+				c.setStoreFate(turnedAway(fault, "n0", "n1"))
+				for i := range 12 {
+					submit(t, n, q, fmt.Sprintf("%016x", i), twoSteps(100*time.Millisecond))
+					time.Sleep(200 * time.Millisecond)
+				}
+				c.setStoreFate(storeWorks)
+				for i := range 12 {
+					c.eventually(c.nodes["n2"].node, q, fmt.Sprintf("%016x", i), workload.Completed, 10*time.Second)
+				}
+				if got := c.fleet.Starts(); got != 12*7 {
+					t.Errorf("%d tasks have started, want %d", got, 12*7)
+				}
+			})
+		})
+	}
+}
+
+// With no peer to help, a job is refused at once, and truly never runs.
+func TestRefusedAtOnceWhereNobodyHelps(t *testing.T) {
+	cases := map[string]func(c *cluster){
+		"store away for all": func(c *cluster) {
+			c.setStoreFate(func(string, string) memory.Fault { return memory.FaultBefore })
+		},
+		"cut off from all": func(c *cluster) {
+			c.setStoreFate(turnedAway(memory.FaultLostCall, "n0"))
+			c.cutPeers("n1", "n2", "n3")
+		},
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 4, func(c *cluster) {
+				n := c.nodes["n0"].node
+				q := queue(t, n, "shift-close")
+				trouble(c)
+				time.Sleep(2 * time.Second) // the node has noticed
+				from := time.Now()
+				err := n.Desk().Submit(context.Background(), q, "00000000000000aa", twoSteps(100*time.Millisecond))
+				var refused *intake.RefusedError
+				if !errors.As(err, &refused) || refused.After <= 0 {
+					t.Errorf("answer %v, want a refusal with a time to come back", err)
+				}
+				if took := time.Since(from); took > 100*time.Millisecond {
+					t.Errorf("the refusal took %v", took)
+				}
+				c.setStoreFate(storeWorks)
+				c.cutPeers()
+				time.Sleep(10 * time.Second)
+				if got := c.fleet.Starts(); got != 0 {
+					t.Errorf("%d tasks of a refused job have started", got)
+				}
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,7 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: peerConns, IdleConnTimeout: idleTimeout}
 	}
-	owners := peer.NewOwners(n.keeper, n.roster, &http.Client{Transport: transport}, logger)
+	owners := peer.NewOwners(n.keeper, n.roster, &http.Client{Transport: transport}, s.Clock, logger)
 	if s.Machines != nil {
 		n.startSteward(ctx, owners)
 	}
@@ -201,7 +201,7 @@
 func (n *Node) Catalog() *workload.Catalog { return n.configs.Catalog() }
 
 // PeerHandler answers the questions of peers.
-func (n *Node) PeerHandler() http.Handler { return peer.Handler(n.keeper, n.logger) }
+func (n *Node) PeerHandler() http.Handler { return peer.Handler(n.keeper, n.desk, n.logger) }
 
 // Logger returns where the node logs.
 func (n *Node) Logger() *slog.Logger { return n.logger }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,6 +44,7 @@
 	waitingPath   = "/peer/waiting"
 	surveyPath    = "/peer/survey"
 	explainPath   = "/peer/explain"
+	keepPath      = "/peer/keep"
 )
 
 // A question names what it is about. Its fields are exported because a codec
@@ -57,6 +58,8 @@
 	At pointport.Revision `json:"at,omitempty"`
 	// Survey goes with a question on how a pool stands.
 	Survey *schedule.SurveyRequest `json:"survey,omitempty"`
+	// Keep is a job that the asking member could not store.
+	Keep *intake.Submission `json:"keep,omitempty"`
 }
 
 // A reply is what the owner says.
@@ -67,6 +70,10 @@
 	Survey schedule.Survey `json:"survey,omitzero"`
 	// Explanation says how a job stands and why.
 	Explanation schedule.Explanation `json:"explanation,omitzero"`
+	// Refused says that a job was not stored and never will be by this question,
+	// Unsure that this is not known.
+	Refused string `json:"refused,omitempty"`
+	Unsure  string `json:"unsure,omitempty"`
 }
 
 // ErrNoOwner says that no owner of a pool is known.
@@ -78,6 +85,7 @@
 	roster  *member.Roster
 	http    *http.Client
 	timeout time.Duration
+	resting *resting
 	logger  *slog.Logger
 }
 
@@ -85,8 +93,8 @@
 
 // NewOwners returns a way to the owners: those that keeper runs, and others as
 // the roster names them.
-func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, logger *slog.Logger) *Owners {
-	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, logger: logger}
+func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, clock pointport.Clock, logger *slog.Logger) *Owners {
+	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newResting(clock), logger: logger}
 }
 
 // ask puts a question to the owner of its pool on another instance.
@@ -95,13 +103,18 @@
 	if !ok || holding.Mine {
 		return reply{}, ErrNoOwner
 	}
+	return o.post(ctx, holding.Member, path, q)
+}
+
+// post puts a question to a member.
+func (o *Owners) post(ctx context.Context, to member.Member, path string, q question) (reply, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return reply{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+holding.Member.Peer+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Peer+path, bytes.NewReader(body))
 	if err != nil {
 		return reply{}, err
 	}
@@ -111,7 +124,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return reply{}, fmt.Errorf("owner %s of pool %s answers %s", holding.Member.Name, q.Pool, res.Status)
+		return reply{}, fmt.Errorf("member %s, asked about pool %s, answers %s", to.Name, q.Pool, res.Status)
 	}
 	var r reply
 	return r, json.NewDecoder(res.Body).Decode(&r)
@@ -176,9 +189,18 @@
 	return r.Explanation, r.Known, err
 }
 
-// Handler returns the other end: it answers for the owners that keeper runs.
-func Handler(keeper *member.Keeper[*shard.Owner], logger *slog.Logger) http.Handler {
+// A Store keeps jobs.
+type Store interface {
+	// Keep stores a job. It fails with an *intake.RefusedError or an
+	// *intake.UnsureError.
+	Keep(ctx context.Context, s intake.Submission) error
+}
+
+// Handler returns the other end: it answers for the owners that keeper runs, and
+// stores jobs for members that cannot.
+func Handler(keeper *member.Keeper[*shard.Owner], store Store, logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+keepPath, func(w http.ResponseWriter, r *http.Request) { keep(w, r, store, logger) })
 	handle := func(path string, answer func(context.Context, *shard.Owner, question) (reply, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			var q question
