Serve the platform's protocols as a stand-in; soak real processes; name what logs lack

Change: package platform serves the other end of each of its protocols, tested against its own clients; standin/grid puts them on loopback around the store and the fleet in memory; soak runs pointportd as processes against it, with proxies that delay, cut one way, silence and reset, and with signals, and checks from outside: no run twice, none before its turn, none of a refused job, states never early, all jobs and waves at their end, machines one holder at a time.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -456,7 +456,7 @@
 }
 
 func TestGangGathersOrGivesUp(t *testing.T) {
-	work := func(o pointport.StartOrder) testbed.Work {
+	work := func(pointport.StartOrder) testbed.Work {
 		return testbed.Work{Room: pointport.Shape{CPUMilli: 1500}, Duration: 500 * time.Millisecond, Gang: 5}
 	}
 	bubble(t, 2, func(c *cluster) {
--- /dev/null
+++ b/soak/doc.go
@@ -0,0 +1,12 @@
+// Package soak runs the real programs as separate processes on one machine against
+// a stand-in of the platform, and brings about faults from outside them: proxies
+// that delay, reset, cut or silence connections, and signals that stop, freeze,
+// kill and restart processes. It checks what is promised while it runs, from what
+// customers and instances see. All of it is in its tests.
+//
+// The model: a seed decides everything that is drawn: the customers' jobs, the
+// faults and their times. Processes race as they like, so a seed does not repeat a
+// run exactly; testdata/seeds.txt keeps each seed that ever failed, with its cause.
+//
+// Invariant: only processes that the soak has started are signalled, by their ids.
+package soak
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pointport/pointport/platform"
+)
+
+// This file defines an entry instance as a process, and what is done to it.
+
+// An entry is an entry instance. Its process is started anew whenever it has
+// ended.
+type entry struct {
+	name     string
+	settings *platform.Settings
+	path     string // of its settings file
+	logPath  string
+	store    *proxy
+	machines *proxy
+
+	mu      sync.Mutex
+	process *os.Process
+	ended   chan struct{} // closed when the process has ended
+	starts  int
+	downFor time.Duration // how long the process stays down once it has ended
+	closing bool
+	// calm is since when nothing was done to the entry, stopping whether it was told
+	// to end as planned.
+	calm     time.Time
+	stopping bool
+}
+
+// portsFor returns the first of four ports in a row that are free.
+func portsFor(r *rand.Rand) (int, error) {
+	for range 200 {
+		first := 20000 + 4*r.IntN(5000)
+		free := true
+		for n := range 4 {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+n))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no four free ports in a row")
+}
+
+// writeSettings writes the settings file.
+func (e *entry) writeSettings() error {
+	data, err := e.settings.Encode()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(e.path, data, 0o600)
+}
+
+// restartTime is how long a process that has ended stays down as a rule.
+const restartTime = 200 * time.Millisecond
+
+// supervise starts the process, and starts it anew whenever it has ended, until
+// the entry is closed. fail is told of a process that cannot be started.
+func (e *entry) supervise(fail func(format string, args ...any)) error {
+	if err := e.start(); err != nil {
+		return err
+	}
+	go func() {
+		for {
+			<-e.ended // set by this goroutine alone
+			e.mu.Lock()
+			down := max(e.downFor, restartTime)
+			e.downFor = 0
+			e.mu.Unlock()
+			time.Sleep(down)
+			e.mu.Lock()
+			closing := e.closing
+			e.mu.Unlock()
+			if closing {
+				return
+			}
+			if err := e.start(); err != nil {
+				fail("%s cannot be started: %v", e.name, err)
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// start starts the process.
+func (e *entry) start() error {
+	log, err := os.OpenFile(e.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(program, "join", "-settings="+e.path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.process, e.ended, e.stopping = cmd.Process, ended, false
+	e.starts++
+	go func() {
+		_ = cmd.Wait() // how it ended is in the log
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends the process a signal, after which it stays down for so long if it
+// ends. Only the process that this entry has started is reached.
+func (e *entry) signal(s syscall.Signal, down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+	default:
+		e.downFor = down
+		e.stopping = e.stopping || s == syscall.SIGTERM
+		_ = e.process.Signal(s)
+	}
+}
+
+// close ends the process for good.
+func (e *entry) close() {
+	e.mu.Lock()
+	e.closing = true
+	ended := e.ended
+	e.mu.Unlock()
+	e.signal(syscall.SIGCONT, 0)
+	e.signal(syscall.SIGKILL, 0)
+	<-ended
+	e.store.close()
+	e.machines.close()
+}
+
+// touch notes that something is done to the entry now.
+func (e *entry) touch() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calm = time.Now()
+}
+
+// program is the path of pointportd.
+var program string
+
+// buildProgram builds pointportd into a directory.
+func buildProgram(dir string) error {
+	program = filepath.Join(dir, "pointportd")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/pointport/pointport/cmd/pointportd").CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w\n%s", err, out)
+	}
+	return nil
+}
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	moveTime time.Duration
 	upkeep   time.Duration
 	random   *rand.Rand
+	// address returns where a machine's incarnations take orders.
+	address func(pointport.InstanceID, pointport.IncarnationID) string
 
 	mu       sync.Mutex
 	machines map[pointport.InstanceID]*Machine
@@ -78,6 +81,16 @@
 	return func(f *Fleet) { f.register = register }
 }
 
+// WithAddresses sets where the incarnations of each machine take orders.
+func WithAddresses(address func(pointport.InstanceID) string) Option {
+	return func(f *Fleet) {
+		f.address = func(id pointport.InstanceID, _ pointport.IncarnationID) string { return address(id) }
+	}
+}
+
+// noAddress stands for an address where nobody calls by address.
+func noAddress(_ pointport.InstanceID, life pointport.IncarnationID) string { return string(life) + ":1" }
+
 // The times of a fleet, as the users' platform has them.
 const (
 	DefaultGangTime = 3 * time.Second
@@ -91,7 +104,7 @@
 	f := &Fleet{
 		clock: clock, work: PayloadWork, guards: true,
 		gangTime: DefaultGangTime, stopTime: DefaultStopTime, moveTime: DefaultMoveTime, upkeep: DefaultUpkeep,
-		random:   rand.New(rand.NewPCG(1, 2)),
+		random: rand.New(rand.NewPCG(1, 2)), address: noAddress,
 		machines: make(map[pointport.InstanceID]*Machine), lives: make(map[pointport.IncarnationID]*incarnation),
 		changed: make(chan struct{}), done: make(map[string]bool), ends: make(map[*incarnation]map[int64]string),
 		register: func(pointport.Incarnation, bool) {}, starts: make(map[string]int),
@@ -139,7 +152,7 @@
 	if !m.draining.IsZero() {
 		options = append(options, pointport.WithDraining(m.draining.Sub(f.clock.Now())))
 	}
-	return pointport.NewIncarnation(m.life.id, m.pool, string(m.life.id)+":1", options...)
+	return pointport.NewIncarnation(m.life.id, m.pool, f.address(m.id, m.life.id), options...)
 }
 
 // end ends a machine's present life. The lock is held.
@@ -229,6 +242,17 @@
 	return out
 }
 
+// Incarnation returns a machine's present life, empty if it has none.
+func (f *Fleet) Incarnation(id pointport.InstanceID) pointport.IncarnationID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[id]
+	if m == nil || m.life == nil {
+		return ""
+	}
+	return m.life.id
+}
+
 // Violations returns what whoever gave orders has done wrong.
 func (f *Fleet) Violations() []Violation {
 	f.mu.Lock()
@@ -247,6 +271,39 @@
 	return n
 }
 
+// Started returns how many runs of a task have begun.
+func (f *Fleet) Started(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[task]
+}
+
+// Done reports whether a run of a task has ended well.
+func (f *Fleet) Done(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task] || f.listedDone(task)
+}
+
+// RunsOf returns how many runs of a job's tasks there are now.
+func (f *Fleet) RunsOf(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, n := f.clock.Now(), 0
+	for _, i := range f.lives {
+		i.advance(now)
+		if i.over {
+			continue
+		}
+		for task := range i.runs {
+			if strings.HasPrefix(task, job+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Running returns how many runs there are.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
--- a/trace/story.go
+++ b/trace/story.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,15 +28,15 @@
 	ID    string
 	Lines []Line
 	// LeftOut is how many lines of the time in question were left out or dropped,
-	// of whichever jobs.
-	LeftOut int
+	// of whichever jobs, by the event that they were of; empty for any event.
+	LeftOut map[string]int
 	// Unreadable is how many lines of the logs could not be read.
 	Unreadable int
 }
 
 // Of returns the story of the job called id.
 func (l *Log) Of(id string) Story {
-	s := Story{ID: id, Unreadable: l.unreadable}
+	s := Story{ID: id, Unreadable: l.unreadable, LeftOut: make(map[string]int)}
 	for i := range l.lines {
 		if l.lines[i].names(id) {
 			s.Lines = append(s.Lines, l.lines[i])
@@ -52,7 +53,7 @@
 		if line.At.Before(from) || line.At.After(to) {
 			continue
 		}
-		s.LeftOut += line.leftOut()
+		s.countLeftOut(line)
 		if !line.names(id) && line.affects(nodes, pools) {
 			s.Lines = append(s.Lines, *line)
 		}
@@ -113,17 +114,17 @@
 	return nodes[l.Node] && l.isOneOf(background) || pools[l.attr("pool")] && l.isOneOf(ownership)
 }
 
-// leftOut returns how many lines before this one are missing.
-func (l *Line) leftOut() int {
-	text := l.attr(event.LeftOutAttr)
+// countLeftOut counts the lines before this one that are missing.
+func (s *Story) countLeftOut(l *Line) {
+	name, text := l.Name, l.attr(event.LeftOutAttr)
 	if l.Number == event.LinesDropped.Number() {
-		text = l.attr("lines")
+		name, text = "", l.attr("lines")
 	}
 	n, err := strconv.Atoi(text)
 	if err != nil {
-		return 0 // most lines have no such attribute
+		return // most lines have no such attribute
 	}
-	return n
+	s.LeftOut[name] += n
 }
 
 // Write tells the story, a line each, with times from the first one about the job.
@@ -166,8 +167,12 @@
 // caveat says what is missing from the story.
 func (s *Story) caveat() string {
 	var missing []string
-	if s.LeftOut > 0 {
-		missing = append(missing, fmt.Sprintf("%d lines of this time were left out of the logs, some perhaps about this job", s.LeftOut))
+	for _, name := range slices.Sorted(maps.Keys(s.LeftOut)) {
+		of := "any event"
+		if name != "" {
+			of = strconv.Quote(name)
+		}
+		missing = append(missing, fmt.Sprintf("%d lines of %s were left out of the logs in this time, some perhaps about this job", s.LeftOut[name], of))
 	}
 	if s.Unreadable > 0 {
 		missing = append(missing, fmt.Sprintf("%d lines of the logs cannot be read", s.Unreadable))
