Say why a job waits; find causes from logs alone

Cause: the logs showed when a job was placed and not what it had waited for. Change: a job that finds no room for half a second has a line with the reason, again every three seconds; a refusal says what peers answered.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -119,6 +119,7 @@
 	JobInvalid    = define(531, "job invalid", slog.LevelInfo, "A job was not accepted because a field of it cannot be used; it never runs.")
 	StatusRead    = define(533, "status read", slog.LevelInfo, "A customer was told a job's state as the store has it, because the pool's owner gave none; reason says why.")
 	JobHandedOn   = define(534, "job handed on", slog.LevelInfo, "A peer keeps a job that this member could not, and the customer is told that it is accepted; reason says why this one could not.")
+	JobWaits      = define(535, "job waits", slog.LevelInfo, "A job has found no room for a while; reason says why. It is told again every few seconds.", times("waited"))
 	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
 	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -68,12 +68,15 @@
 func (d *Desk) handOn(ctx context.Context, s Submission, cause error) error {
 	peer, err := d.owners.Keep(ctx, s)
 	var unsure *UnsureError
+	var refused, refusedHere *RefusedError
 	switch {
 	case err == nil:
 		event.JobHandedOn.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause))
 		return nil
 	case errors.As(cause, &unsure):
 		return cause
+	case errors.As(err, &refused) && errors.As(cause, &refusedHere):
+		return &RefusedError{ID: s.ID, After: refused.After, Cause: refusedHere.Cause + "; nor does a peer store it: " + refused.Cause}
 	}
 	return err
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -48,6 +48,7 @@
 	peersCut  map[string]bool
 	nodes     map[string]*running
 	logs      *logs
+	written   *logs // the same lines as nodes write them
 	// still says that nobody moves or maintains instances.
 	still bool
 }
@@ -105,7 +106,7 @@
 	c := &cluster{
 		t: t, store: memory.New(clock.System{}), network: testbed.Reliable,
 		storeFate: func(string, string) memory.Fault { return memory.FaultNone },
-		peersCut:  make(map[string]bool), nodes: make(map[string]*running), logs: &logs{},
+		peersCut:  make(map[string]bool), nodes: make(map[string]*running), logs: &logs{}, written: &logs{},
 	}
 	c.kv = c.store.KV()
 	fleetOptions := []testbed.Option{testbed.WithSpare(spareName), testbed.WithRegister(c.register)}
@@ -249,7 +250,7 @@
 		TaskLease: 4 * time.Second, Grace: 6 * time.Second, HolderTime: holderTime, PeerName: name,
 		GangTime: testbed.DefaultGangTime, FarFactor: 2,
 		Capacity: capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep},
-	}, slog.New(slog.NewTextHandler(c.logs, nil)).With(slog.String("node", name)))
+	}, slog.New(slog.NewMultiHandler(slog.NewTextHandler(c.logs, nil), slog.NewJSONHandler(c.written, nil))).With(slog.String("node", name)))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/peer/keep.go
+++ b/peer/keep.go
@@ -30,7 +30,7 @@
 )
 
 // errNoPeer says that there was no peer to ask.
-var errNoPeer = errors.New("no peer stores the job either")
+var errNoPeer = errors.New("there is none to ask")
 
 // resting are the peers that are left alone for a while. It is safe for concurrent
 // use.
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -55,6 +55,8 @@
 	// starved is since when the job has found no room, preempted when it last
 	// took some from others.
 	starved, preempted time.Time
+	// toldWait is when it was last logged why the job finds no room.
+	toldWait time.Time
 	// begun says that the job is known to have begun, by this owner's doing or
 	// before it.
 	begun bool
--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 	"sort"
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/workload"
 )
 
@@ -135,6 +137,35 @@
 	return fmt.Sprintf("%d tasks wait for the next plan, or for more pressing jobs; %d instances have room", tasks, open)
 }
 
+const (
+	// tellWaitAfter is for how long a job has found no room when that is logged; most
+	// tasks end within it. tellWaitEvery is the least time until it is logged again.
+	tellWaitAfter = 500 * time.Millisecond
+	tellWaitEvery = 3 * time.Second
+)
+
+// tellWait logs why a job finds no room, if it has not for a while. missed is the
+// first of its tasks that found none.
+func (b *Book) tellWait(now time.Time, missed waiting) {
+	e := missed.entry
+	if e.starved.IsZero() {
+		e.starved = now
+	}
+	waited := now.Sub(e.starved)
+	if waited < tellWaitAfter || now.Sub(e.toldWait) < tellWaitEvery {
+		return
+	}
+	e.toldWait = now
+	tasks := 0
+	for _, t := range e.ready {
+		if t.ref.K == missed.ref.K && t.ref.Step == missed.ref.Step {
+			tasks++
+		}
+	}
+	event.JobWaits.Log(b.logger, slog.String("job", e.job.ID()), slog.Int("step", missed.ref.Step), slog.Duration("waited", waited),
+		slog.Bool("late", e.standing.class == classLate), slog.String("reason", b.explainWait(now, missed, tasks)))
+}
+
 // explainBarred says why instances of the pool cannot be used.
 func (b *Book) explainBarred(now time.Time) string {
 	reasons := make(map[string]int)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -25,11 +25,14 @@
 		return
 	}
 	workers := b.usable(now)
+	queue := b.queue(now)
 	if len(workers) == 0 {
+		for _, e := range queue {
+			b.tellWait(now, e.ready[0])
+		}
 		return
 	}
 	p := placement{book: b, now: now, workers: workers}
-	queue := b.queue(now)
 	b.scarce = scarceLabels(queue)
 	for _, e := range queue {
 		p.placeAll(e)
@@ -110,9 +113,11 @@
 		return
 	}
 	p.book.seekAdvice(p.now, *missed)
-	if !placed {
-		p.book.preempt(p.now, *missed, p.workers)
+	if placed {
+		return
 	}
+	p.book.tellWait(p.now, *missed)
+	p.book.preempt(p.now, *missed, p.workers)
 }
 
 // gangOf returns the tasks at the beginning of a list that must be placed
@@ -308,7 +313,7 @@
 	b.touch(t.entry, true)
 	event.TaskPlaced.Log(b.logger, slog.String("task", r.name), slog.Int("run", number),
 		slog.String("incarnation", string(w.inc.ID())), slog.Int64("freeCPUMilli", w.free.CPUMilli), slog.Int("candidates", candidates),
-		slog.Int("class", t.entry.standing.class), slog.Duration("expected", b.learned.duration(t.entry.job.Queue(), t.step)))
+		slog.String("class", t.entry.standing.class.String()), slog.Duration("expected", b.learned.duration(t.entry.job.Queue(), t.step)))
 }
 
 // A waiting task is one whose turn has come.
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -27,9 +27,6 @@
 	if e.job.Policy().Priority != 0 || b.lowRuns == 0 {
 		return
 	}
-	if e.starved.IsZero() {
-		e.starved = now
-	}
 	if now.Sub(e.starved) < preemptAfter || now.Sub(e.preempted) < preemptEvery {
 		return
 	}
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -30,9 +30,7 @@
 // A standing says how pressing a job is; less comes first.
 type standing struct {
 	priority int
-	// class is 0 for tasks that serve, 1 for jobs that can end in time and have
-	// begun, 2 for those that have not, 3 for those that will be late.
-	class int
+	class    class
 	// latest is when the job's next tasks must start for it to end in time.
 	latest time.Time
 }
@@ -47,14 +45,18 @@
 	return s.latest.Before(t.latest)
 }
 
-// The classes of a standing.
+// A class is what can still be said for a job; a lower one comes first.
+type class int
+
 const (
-	classServing = iota
-	classBegun
-	classFresh
-	classLate
+	classServing class = iota // its tasks serve
+	classBegun                // it can end in time, and what it has done would be lost
+	classFresh                // it can end in time and has not begun
+	classLate                 // it will hardly end in time
 )
 
+func (c class) String() string { return [...]string{"serving", "begun", "fresh", "late"}[c] }
+
 // queue returns the jobs with waiting tasks, the most pressing first.
 func (b *Book) queue(now time.Time) []*entry {
 	out := make([]*entry, 0, len(b.hungry))
--- a/trace/story.go
+++ b/trace/story.go
@@ -203,7 +203,7 @@
 // nanoseconds.
 func isTime(key string) bool {
 	switch key {
-	case "after", "took", "expected", "objective", "startedAfter", "expiresIn", "age", "unchanged", "avoidedFor", "left":
+	case "after", "took", "waited", "expected", "objective", "startedAfter", "expiresIn", "age", "unchanged", "avoidedFor", "left":
 		return true
 	}
 	return false
