--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -16,7 +16,7 @@
 const (
 	// headroom is how much more room a pool gets than its tasks take, because
 	// rooms do not divide evenly among instances.
-	headroom = 1.2
+	headroom = 1.35
 	// idleTime is how long an instance is empty before it goes to the spare
 	// pool. A move costs about as much as three seconds of an idle instance.
 	idleTime = 2 * time.Second
@@ -24,7 +24,7 @@
 	// although there are spare ones.
 	lendTime = time.Second
 	// settleTime is how long a machine is left alone after it came to a pool.
-	settleTime = 2 * time.Second
+	settleTime = 1200 * time.Millisecond
 	// orderAgain is after how long an order without an answer is given again.
 	orderAgain = time.Second
 	// listLag is how far the list of machines may be behind what instances say of
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -180,6 +180,9 @@
 
 // check makes sure that a tenant still owns its pool.
 func (k *Keeper[T]) check(ctx context.Context, t T) {
+	if t.Ownership().fresh(k.clock.Now()) {
+		return // its writes, which depend on the key, prove it
+	}
 	err := k.roster.Check(ctx, t.Ownership())
 	switch {
 	case errors.Is(err, ErrLost):
--- a/member/roster.go
+++ b/member/roster.go
@@ -52,6 +52,7 @@
 // taken away although the lease that it goes with lives on, so a renewed lease
 // alone proves nothing.
 type proof struct {
+	ttl   time.Duration // for how long a call that saw the key proves it
 	mu    sync.Mutex
 	until time.Time
 }
@@ -64,14 +65,24 @@
 }
 
 // prove takes in that the owner key was seen by a call made at from.
-func (o Ownership) prove(from time.Time, ttl time.Duration) {
+func (o Ownership) prove(from time.Time) {
 	o.proof.mu.Lock()
 	defer o.proof.mu.Unlock()
-	if until := from.Add(ttl); until.After(o.proof.until) {
+	if until := from.Add(o.proof.ttl); until.After(o.proof.until) {
 		o.proof.until = until
 	}
 }
 
+// fresh reports whether a call has seen the owner key so lately that another one
+// is not needed yet.
+func (o Ownership) fresh(now time.Time) bool {
+	return o.Proven(now.Add(o.proof.ttl - o.proof.ttl/freshShare))
+}
+
+// freshShare is the part of the time for which a call proves an ownership within
+// which no other call is needed.
+const freshShare = 4
+
 // ErrLost says that another member owns the pool, or nobody.
 var ErrLost = errors.New("this member does not own the pool any more")
 
@@ -86,14 +97,14 @@
 	if e.Revision() != own.Revision {
 		return ErrLost
 	}
-	own.prove(from, r.session.TTL())
+	own.prove(from)
 	return nil
 }
 
 // own returns an ownership that was seen by a call made at from.
 func (r *Roster) own(pool string, fence pointport.Fence, revision pointport.Revision, from time.Time) Ownership {
-	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{}}
-	o.prove(from, r.session.TTL())
+	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{ttl: r.session.TTL()}}
+	o.prove(from)
 	return o
 }
 
--- a/member/writer.go
+++ b/member/writer.go
@@ -95,8 +95,10 @@
 func (w *Writer) settle(ctx context.Context) error {
 	retry := writeRetryFirst
 	for {
+		from := w.clock.Now()
 		revision, err := w.kv.Commit(ctx, *w.unsure)
 		if err == nil {
+			w.own.prove(from)
 			w.head, w.unsure = revision, nil
 			return nil
 		}
--- a/schedule/arrivals.go
+++ b/schedule/arrivals.go
@@ -13,7 +13,7 @@
 
 // arrivalWindow is the time over which the rate is averaged. A peak must be seen
 // within a second, because an instance takes more than one to come.
-const arrivalWindow = 1200 * time.Millisecond
+const arrivalWindow = 800 * time.Millisecond
 
 // arrivals is the recent rate of arriving work.
 type arrivals struct {
--- a/shard/load.go
+++ b/shard/load.go
@@ -20,6 +20,10 @@
 // loadRetry is how long to wait after the store gave no answer to a new owner.
 const loadRetry = 100 * time.Millisecond
 
+// openRest is how long to wait between two changes of open jobs. Members tell of
+// the jobs that they accept; the watch is for those of which the message was lost.
+const openRest = 300 * time.Millisecond
+
 // predecessorSlack covers an order of an earlier owner that is under way when
 // its lease ends.
 const predecessorSlack = 500 * time.Millisecond
@@ -110,7 +114,7 @@
 	take := func(entries []pointport.Entry) {
 		o.do(func(time.Time) { o.take(entries, nil) })
 	}
-	member.Follow(ctx, o.kv, o.clock, workload.OpenPrefix(o.own.Pool), take, take, member.From(at))
+	member.Follow(ctx, o.kv, o.clock, workload.OpenPrefix(o.own.Pool), take, take, member.From(at), member.Rest(openRest))
 }
 
 // Submitted tells the owner of a job that was accepted at a revision; accepted
