Empty surplus instances for a peak; retire none before the load is known

At a site's first start all pools were shrunk before the first peak came, a tenth of whose jobs was late. Change: while a pool misses instances, those that others need no more take nothing new and go once they are empty; a pool is not shrunk until it has had work, or for 15 s. Looks each 100 ms, registrations 100 ms apart; an instance may move on after 0.4 s, be lent after 0.3 s idle, be retired after 3 s.

--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -19,12 +19,12 @@
 	headroom = 1.35
 	// idleTime is how long an instance is empty before it goes to the spare
 	// pool. A move costs about as much as three seconds of an idle instance.
-	idleTime = 2 * time.Second
+	idleTime = 3 * time.Second
 	// lendTime is how long an instance is empty before another pool may take it
 	// although there are spare ones.
-	lendTime = time.Second
+	lendTime = 300 * time.Millisecond
 	// settleTime is how long a machine is left alone after it came to a pool.
-	settleTime = 1200 * time.Millisecond
+	settleTime = 400 * time.Millisecond
 	// orderAgain is after how long an order without an answer is given again.
 	orderAgain = time.Second
 	// listLag is how far the list of machines may be behind what instances say of
@@ -36,6 +36,10 @@
 	// instance take three.
 	urgentAfter = 1500 * time.Millisecond
 	claimAfter  = 2500 * time.Millisecond
+	// strangeTime is for how long the instances of a pool stay although nothing is
+	// known of its load: at a site's first start the load comes some seconds later,
+	// and an instance that was retired before would be missed by the first peak.
+	strangeTime = 15 * time.Second
 	// leastInstances is how many instances a pool with a queue keeps.
 	leastInstances = 1
 )
@@ -113,6 +117,7 @@
 	surveyed map[string]bool
 	listed   time.Time // when the newest list was asked for
 	former   map[pointport.InstanceID]FormerOrder
+	began    time.Time // when the first survey came
 	// unserved is since when serving tasks of a pool have found no room.
 	unserved map[string]time.Time
 }
@@ -193,6 +198,9 @@
 
 // SetSurvey takes in how a pool stands.
 func (p *Planner) SetSurvey(now time.Time, pool string, s schedule.Survey) {
+	if p.began.IsZero() {
+		p.began = now
+	}
 	p.surveys[pool], p.surveyed[pool] = survey{s, now}, true
 	if s.Unserved == 0 {
 		delete(p.unserved, pool)
@@ -442,8 +450,9 @@
 				break
 			}
 		}
-		p.claim(now, d, &sizes[i])
+		p.claim(now, d, &sizes[i], sizes)
 	}
+	p.unclaim()
 	for i := range sizes {
 		p.retire(now, d, &sizes[i])
 	}
@@ -542,44 +551,108 @@
 	return true
 }
 
-// claim empties a busy instance of another pool for serving tasks that have found
-// no room for some time. One at a time is emptied for a pool.
-func (p *Planner) claim(now time.Time, d *Decision, to *size) {
-	since, ok := p.unserved[to.pool]
-	if !ok || to.have >= to.want || now.Sub(since) < claimAfter {
-		for _, m := range p.machines {
-			if m.claimed == to.pool {
-				m.claimed = ""
-			}
+// unclaim forgets the claims that were not made again.
+func (p *Planner) unclaim() {
+	for _, m := range p.machines {
+		if !m.closing {
+			m.claimed = ""
 		}
-		return
 	}
-	if m := p.claimable(now, to.pool); m != nil {
+}
+
+// claim empties busy instances of other pools for one that misses some and found
+// none that is free: those that their pools need no more, and one of any pool if
+// serving tasks have found no room for some time.
+func (p *Planner) claim(now time.Time, d *Decision, to *size, sizes []size) {
+	for to.have < to.want {
+		m, from := p.surplus(now, to, sizes)
+		if m == nil && to.starving(now, p.unserved) {
+			m, from = p.busiest(now, to, sizes)
+		}
+		if m == nil {
+			return
+		}
 		m.claimed = to.pool
 		to.have++
-		p.release(now, d, m, to.pool, "serving tasks wait there")
+		from.have--
+		p.release(now, d, m, to.pool, "needed there more")
+		if from.have < from.want {
+			return // one at a time is taken from a pool that needs it
+		}
 	}
 }
 
-// claimable returns the instance that is being emptied for a pool already, else
-// the one that is emptied soonest, or nil.
-func (p *Planner) claimable(now time.Time, pool string) *machine {
+// starving reports whether serving tasks of the pool have found no room for so
+// long that a busy instance is emptied for them.
+func (s *size) starving(now time.Time, unserved map[string]time.Time) bool {
+	since, ok := unserved[s.pool]
+	return ok && now.Sub(since) >= claimAfter
+}
+
+// surplus returns the instance that is emptied soonest of a pool that has more
+// than it needs, or nil.
+func (p *Planner) surplus(now time.Time, to *size, sizes []size) (*machine, *size) {
 	var best *machine
-	for _, m := range p.machines {
-		if m.claimed == pool && m.pool != pool && p.free(now, m) {
-			return m
+	var from *size
+	for i := range sizes {
+		s := &sizes[i]
+		if s.pool == to.pool || s.have <= max(s.want, leastInstances) {
+			continue
 		}
-		busy := m.load.Incarnation == m.life && m.load.Runs > 0 && m.load.Serving == 0
-		if m.pool == pool || m.pool == p.spare || m.claimed != "" || m.closing || !p.free(now, m) || !busy {
+		if m := p.emptiest(now, s.pool, to.pool); m != nil && (best == nil || m.sooner(best, to.pool)) {
+			best, from = m, s
+		}
+	}
+	return best, from
+}
+
+// busiest returns the instance that is emptied soonest of the pool that has most,
+// or nil.
+func (p *Planner) busiest(now time.Time, to *size, sizes []size) (*machine, *size) {
+	var from *size
+	for i := range sizes {
+		s := &sizes[i]
+		if s.pool != to.pool && s.have > leastInstances && (from == nil || s.have > from.have) {
+			from = s
+		}
+	}
+	if from == nil {
+		return nil, nil
+	}
+	return p.emptiest(now, from.pool, to.pool), from
+}
+
+// emptiest returns the busy instance of a pool that is emptied soonest for another
+// pool, or nil. Instances with serving tasks are left alone.
+func (p *Planner) emptiest(now time.Time, pool, forPool string) *machine {
+	var best *machine
+	for _, m := range p.machines {
+		known := m.load.Incarnation == m.life && m.load.Serving == 0
+		if m.pool != pool || m.closing || !known || !p.free(now, m) || m.claimed != "" && m.claimed != forPool {
 			continue
 		}
-		if best == nil || m.load.Runs < best.load.Runs || m.load.Runs == best.load.Runs && m.id < best.id {
+		if m.load.Runs == 0 && m.claimed == "" {
+			continue // it is idle, and is lent if its pool can spare it
+		}
+		if best == nil || m.sooner(best, forPool) {
 			best = m
 		}
 	}
 	return best
 }
 
+// sooner reports whether an instance is rather emptied for a pool than another:
+// one that was chosen for it before, else the one with fewer tasks.
+func (m *machine) sooner(o *machine, forPool string) bool {
+	if chosen := m.claimed == forPool; chosen != (o.claimed == forPool) {
+		return chosen
+	}
+	if m.load.Runs != o.load.Runs {
+		return m.load.Runs < o.load.Runs
+	}
+	return m.id < o.id
+}
+
 func (p *Planner) release(now time.Time, d *Decision, m *machine, pool, reason string) {
 	if m.load.Closed && m.load.Runs == 0 {
 		p.order(now, d, m, Order{Machine: m.id, Pool: pool, Reason: reason})
@@ -590,7 +663,7 @@
 
 // retire sends instances that have been idle for long to the spare pool.
 func (p *Planner) retire(now time.Time, d *Decision, s *size) {
-	if p.spare == "" {
+	if p.spare == "" || !p.surveys[s.pool].Arrived && now.Sub(p.began) < strangeTime {
 		return
 	}
 	for s.have > max(s.want, leastInstances) && len(s.idle) > 0 && now.Sub(s.idle[0].idle) >= idleTime {
--- a/capacity/planner_test.go
+++ b/capacity/planner_test.go
@@ -79,7 +79,7 @@
 }
 
 func (f *fleet) survey(pool string) schedule.Survey {
-	s := schedule.Survey{Need: pointport.Shape{CPUMilli: f.need[pool]}, Unserved: f.unserved[pool]}
+	s := schedule.Survey{Arrived: true, Need: pointport.Shape{CPUMilli: f.need[pool]}, Unserved: f.unserved[pool]}
 	for _, m := range f.machines {
 		if m.Pool == pool && m.Incarnation != "" {
 			s.Instances = append(s.Instances, schedule.InstanceLoad{
@@ -223,6 +223,36 @@
 	}
 }
 
+// While a pool misses instances, busy ones that another needs no more take nothing
+// new and move once they are empty; the pool keeps what it needs.
+func TestSurplusInstancesAreEmptiedForAPeak(t *testing.T) {
+	f := newFleet(6, "a", "b")
+	p := capacity.NewPlanner(settings)
+	for _, m := range f.machines {
+		f.runs[m.ID] = 1
+	}
+	f.need["a"], f.need["b"] = 20000, 1400
+	for range 16 {
+		f.step(p, 250*time.Millisecond, nil)
+		for id := range f.closed {
+			f.runs[id] = 0 // what runs there ends, and nothing new comes
+		}
+	}
+	if a, b := f.count("a"), f.count("b"); a != 10 || b != 2 {
+		t.Errorf("pools have %d and %d instances, want 10 and 2", a, b)
+	}
+	f.need["a"] = 1400
+	for _, m := range f.machines {
+		f.runs[m.ID] = 1 // none may be retired
+	}
+	for range 4 {
+		f.step(p, 250*time.Millisecond, nil)
+	}
+	if len(f.closed) > 0 {
+		t.Errorf("%v stay closed although no pool misses any", f.closed)
+	}
+}
+
 func TestInstancesWithALabelAreBroughtIn(t *testing.T) {
 	f := newFleet(3, "a", "b", spareName)
 	for _, m := range f.machines {
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -429,12 +429,19 @@
 	}, withWork(work))
 }
 
-// A peak of one pool draws instances from the spare pool, and gives them back.
+// Pools keep their instances until something is known of their load. A peak of one
+// pool draws instances from the spare pool, and gives them back.
 func TestInstancesFollowThePeak(t *testing.T) {
 	bubble(t, 2, func(c *cluster) {
 		n := c.nodes["n0"].node
 		q := queue(t, n, "shift-close")
 		time.Sleep(4 * time.Second)
+		if got := c.fleet.Size("shift") + c.fleet.Size("payout"); got != 8 {
+			t.Errorf("pools of which nothing is known have %d instances, want their 8", got)
+		}
+		submit(t, n, q, "00000000000000aa", twoSteps(100*time.Millisecond))
+		submit(t, n, queue(t, n, "payout-close"), "00000000000000bb", twoSteps(100*time.Millisecond))
+		time.Sleep(6 * time.Second)
 		if got := c.fleet.Size("shift") + c.fleet.Size("payout"); got > 4 {
 			t.Errorf("idle pools have %d instances", got)
 		}
--- a/node/follow.go
+++ b/node/follow.go
@@ -23,7 +23,7 @@
 	configReread = time.Second
 	// fleetRest is how long to wait between two changes of registrations, which
 	// change with every heartbeat of every instance.
-	fleetRest = 150 * time.Millisecond
+	fleetRest = 100 * time.Millisecond
 )
 
 // A Source says where a kind of thing is in the store and how to read it.
--- a/schedule/arrivals.go
+++ b/schedule/arrivals.go
@@ -21,6 +21,8 @@
 	// goes on.
 	cpu, memory float64
 	at          time.Time
+	// any says that work that ends has ever arrived.
+	any bool
 }
 
 // decay lets the rate fade up to now.
@@ -43,6 +45,7 @@
 		if s.Service {
 			continue
 		}
+		a.any = true
 		weight := float64(s.Count) * learned.duration(j.Queue(), s).Seconds() / window
 		a.cpu += weight * float64(s.Room().CPUMilli)
 		a.memory += weight * float64(s.Room().MemoryMiB)
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -35,6 +35,9 @@
 	// Need is the room that the pool's tasks take now, or will in a moment by the
 	// rate at which work arrives.
 	Need pointport.Shape `json:"need"`
+	// Arrived says that the pool has had work that ends, so that Need says
+	// something of its load.
+	Arrived bool `json:"arrived,omitempty"`
 	// Waiting is the room that tasks want whose turn has come.
 	Waiting pointport.Shape `json:"waiting"`
 	// Spread is how many more instances it takes to hold the tasks whose step
@@ -101,6 +104,7 @@
 		s.want(rack, room)
 	}
 	s.Need = b.need(now, s.Waiting)
+	s.Arrived = b.arrivals.any
 	s.Spread = b.spread(now)
 	m := b.missingForServing(now)
 	s.Unserved, s.Unmoved = m.waiting, m.moving
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -37,7 +37,7 @@
 	Post = "/steward"
 	// roundEvery is how often the steward looks, freshEvery how soon after it has
 	// closed an instance.
-	roundEvery = 150 * time.Millisecond
+	roundEvery = 100 * time.Millisecond
 	freshEvery = 20 * time.Millisecond
 	// listBusy and listIdle are how often the list of machines is read while
 	// orders are under way and while none are.
