--- a/node/trace_test.go
+++ b/node/trace_test.go
@@ -69,7 +69,7 @@
 		}
 		c.setStoreFate(storeWorks)
 		time.Sleep(3 * time.Second)
-	c.wantStory("00000000000000aa",
+		c.wantStory("00000000000000aa",
 			[]string{"n0", "store lost"},
 			[]string{"n0", "job refused", "queue=shift-close", "sure=true", "the store gives no answer", "nor does a peer store it"},
 			[]string{"n0", "store back"})
@@ -85,7 +85,7 @@
 		}
 		submit(t, n, q, "00000000000000aa", twoSteps(200*time.Millisecond))
 		c.eventually(n, q, "00000000000000aa", workload.Completed, time.Minute)
-	c.wantStory("00000000000000aa",
+		c.wantStory("00000000000000aa",
 			[]string{"job accepted", "known=false"},
 			[]string{"job waits", "each needs 500 thousandths of a core"},
 			[]string{"task placed"},
@@ -112,7 +112,7 @@
 		time.Sleep(time.Second)
 		c.kill(owner)
 		c.eventually(n, q, "00000000000000aa", workload.Completed, 30*time.Second)
-	c.wantStory("00000000000000aa",
+		c.wantStory("00000000000000aa",
 			[]string{other, "job accepted"},
 			[]string{owner, "job begun"},
 			[]string{other, "status read", "state=running", "no route to " + owner},
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -89,7 +89,9 @@
 }
 
 // noAddress stands for an address where nobody calls by address.
-func noAddress(_ pointport.InstanceID, life pointport.IncarnationID) string { return string(life) + ":1" }
+func noAddress(_ pointport.InstanceID, life pointport.IncarnationID) string {
+	return string(life) + ":1"
+}
 
 // The times of a fleet, as the users' platform has them.
 const (
