Rule out starts that were abandoned for a copy

Change: an abandoned start that is not known to run is stopped, which rules it out, and never repeated. The time of a silence counts from its beginning also where unanswered starts show it.

--- a/schedule/book.go
+++ b/schedule/book.go
@@ -577,10 +577,7 @@
 		event.WorkerSilent.Log(b.logger, slog.String("incarnation", string(w.inc.ID())),
 			slog.Duration("expiresIn", w.expires.Sub(now)), slog.Any("error", err))
 	}
-	if !w.silent {
-		w.silentSince = now
-	}
-	w.silent = true
+	w.fallSilent(now)
 	if now.Sub(w.silentSince) > abandonAfter {
 		b.abandon(now, w)
 	}
@@ -598,6 +595,11 @@
 			event.TaskReturned.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 				slog.String("incarnation", string(w.inc.ID())), slog.String("reason", "its instance is silent, and a copy may run"))
 			b.detach(r)
+			if r.state == runSent {
+				// It is not known to run, so it is ruled out: an order that
+				// arrives later would start it although a copy may be done.
+				b.stop(now, r, "its task was given to another instance")
+			}
 			r.entry.job.Return(r.ref)
 			b.touch(r.entry, true)
 			b.settleJob(now, r.entry)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -133,7 +133,7 @@
 	event.StartUnanswered.Log(b.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(r.worker.inc.ID())), slog.Int("times", r.unanswered), slog.Any("error", err))
 	if r.unanswered >= silentAfter {
-		r.worker.silent = true
+		r.worker.fallSilent(now)
 	}
 }
 
@@ -197,7 +197,7 @@
 			case r.stopping && now.Sub(r.stopAt) >= stopAgain:
 				r.stopAt = now
 				b.sends = append(b.sends, Order{Kind: OrderStop, Run: r, Worker: w, TaskRun: r.TaskRun()})
-			case r.state == runSent && !r.stopping && !r.againAt.IsZero() && now.After(r.againAt) && now.Before(w.expires):
+			case r.state == runSent && !r.stopping && !r.detached() && !r.againAt.IsZero() && now.After(r.againAt) && now.Before(w.expires):
 				r.againAt = time.Time{}
 				b.sends = append(b.sends, startOrder(r))
 			}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -116,6 +116,13 @@
 	w.expires = w.heard.Add(time.Duration(float64(left)*slowClock) + lapseSlack)
 }
 
+// fallSilent takes in that the worker gives no answer.
+func (w *Worker) fallSilent(now time.Time) {
+	if !w.silent {
+		w.silent, w.silentSince = true, now
+	}
+}
+
 // answered takes in that an answer came at now that showed clock. Only a report
 // ends a silence: what an instance runs after one is not known before.
 func (w *Worker) answered(now time.Time, clock pointport.InstanceClock) {
