Jobs of steps in the product's own interface, against a stand-in of the platform

Cause: on the users' platform jobs could be handed in only in the platform's words; the product's own commands knew jobs of one task. Change: a job of steps is a document in YAML with the product's names, checked field by field; entry instances that joined a platform serve an operators' API beside their figures; pointport workload hands in, follows, explains and cancels, and pointport grid runs the stand-in.

--- a/cli/all.go
+++ b/cli/all.go
@@ -11,8 +11,8 @@
 // OperatorGroups returns the subcommands of pointport.
 func OperatorGroups() []Group {
 	return []Group{
-		{"commands", []*Command{Apply(), Delete(), Wave(), Job()}},
+		{"commands", []*Command{Apply(), Delete(), Wave(), Job(), Workload()}},
 		{"queries", []*Command{Get(), Status(), Audit(), Explain(), Plan(), Trace()}},
-		{"trials", []*Command{Standin(), Load(), Evaluate()}},
+		{"trials", []*Command{Standin(), Grid(), Load(), Evaluate()}},
 	}
 }
--- a/cli/join.go
+++ b/cli/join.go
@@ -18,6 +18,8 @@
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/meter"
 	"github.com/pointport/pointport/node"
+	"github.com/pointport/pointport/operator"
+	"github.com/pointport/pointport/peer"
 	"github.com/pointport/pointport/platform"
 	"github.com/pointport/pointport/shard"
 	"github.com/pointport/pointport/workload"
@@ -141,6 +143,9 @@
 		services.Advisor = figures.Advisor(platform.NewAdvisor(s.Advisor))
 	}
 	services.Metrics = figures.Handler()
+	services.Operators = func(d *intake.Desk, owners *peer.Owners, catalog func() *workload.Catalog) http.Handler {
+		return operator.NewWorkloads(d, owners, catalog)
+	}
 	n, err := node.Start(ctx, services, node.Parameters{
 		Name: s.Name, Zone: s.Zone, Strength: strength(s),
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
--- /dev/null
+++ b/cli/workload.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/operator"
+	"github.com/pointport/pointport/schedule"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file defines the subcommand about jobs of several steps.
+
+// workloadFlags are the settings of the workload subcommand.
+type workloadFlags struct {
+	operatorFlags
+	queue, file string
+}
+
+// Workload returns the subcommand that hands in and follows jobs of several steps.
+func Workload() *Command {
+	c := newCommand("workload", "submit [ID] | get ID | explain ID | cancel ID | queues", "hand in, follow, explain and cancel jobs of several steps")
+	f := &workloadFlags{}
+	f.define(c)
+	c.set.String(&f.queue, "queue", "", "queue of the job")
+	c.set.String(&f.file, "f", "-", "file with the job in YAML or JSON, or - for standard input")
+	c.run = f.run
+	return c
+}
+
+func (f *workloadFlags) run(ctx context.Context, out io.Writer, args []string) error {
+	verb := ""
+	if len(args) > 0 {
+		verb = args[0]
+	}
+	if verb == "submit" && len(args) == 1 {
+		args = append(args, newJobID())
+	}
+	switch {
+	case verb == "queues" && len(args) == 1:
+		return f.queues(ctx, out)
+	case !slices.Contains([]string{"submit", "get", "explain", "cancel"}, verb):
+		return &UsageError{fmt.Sprintf("%q: must be one of submit, get, explain, cancel, queues", verb)}
+	case len(args) != 2:
+		return &UsageError{"want the identity of a job, 16 hexadecimal digits"}
+	case f.queue == "":
+		return &UsageError{"-queue must name the queue of the job"}
+	}
+	path := "/v1/queues/" + url.PathEscape(f.queue) + "/jobs/" + url.PathEscape(args[1])
+	switch verb {
+	case "submit":
+		return f.submit(ctx, out, path)
+	case "explain":
+		return f.explain(ctx, out, path+"/explanation")
+	case "cancel":
+		return f.one(ctx, out, http.MethodDelete, path, nil)
+	}
+	return f.one(ctx, out, http.MethodGet, path, nil)
+}
+
+// newJobID returns an identity that no other job has.
+func newJobID() string {
+	id := uuid.New()
+	return fmt.Sprintf("%x", id[:8])
+}
+
+func (f *workloadFlags) submit(ctx context.Context, out io.Writer, path string) error {
+	data, err := readFile(f.file)
+	if err != nil {
+		return err
+	}
+	doc, err := workload.ParseDocument(data)
+	if err != nil {
+		return &UsageError{fmt.Sprintf("%s: %v", f.file, err)}
+	}
+	return f.one(ctx, out, http.MethodPut, path, doc)
+}
+
+// readFile reads a file, or standard input for -.
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
+
+func (f *workloadFlags) one(ctx context.Context, out io.Writer, method, path string, body any) error {
+	var s operator.JobState
+	if err := f.client().Call(ctx, method, path, nil, body, &s); err != nil {
+		return err
+	}
+	return f.print(out, s, func(w io.Writer) {
+		fmt.Fprintln(w, "JOB\tQUEUE\tSTATUS")
+		fmt.Fprintf(w, "%s\t%s\t%s\n", s.ID, s.Queue, s.Status)
+	})
+}
+
+func (f *workloadFlags) explain(ctx context.Context, out io.Writer, path string) error {
+	var x schedule.Explanation
+	if err := f.client().Call(ctx, http.MethodGet, path, nil, nil, &x); err != nil {
+		return err
+	}
+	return f.print(out, x, func(w io.Writer) { printExplanation(w, &x) })
+}
+
+func printExplanation(w io.Writer, x *schedule.Explanation) {
+	fmt.Fprintf(w, "job %s in queue %s: %s\n", x.Job, x.Queue, x.Status)
+	if x.Late {
+		fmt.Fprintf(w, "  late: its next tasks should have started by %s\n", x.Latest.Format(time.RFC3339Nano))
+	}
+	for _, s := range x.Steps {
+		fmt.Fprintf(w, "  step %d: %d of %d tasks done\n", s.Step, s.Done, s.Tasks)
+		ids := make([]pointport.IncarnationID, 0, len(s.Running))
+		for id := range s.Running {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			fmt.Fprintf(w, "    %d with %s\n", s.Running[id], id)
+		}
+		if s.Waits != "" {
+			fmt.Fprintf(w, "    %s\n", s.Waits)
+		}
+	}
+}
+
+func (f *workloadFlags) queues(ctx context.Context, out io.Writer) error {
+	var list []workload.Queue
+	if err := f.client().Call(ctx, http.MethodGet, "/v1/queues", nil, nil, &list); err != nil {
+		return err
+	}
+	return f.print(out, list, func(w io.Writer) {
+		fmt.Fprintln(w, "QUEUE\tPOOL\tHOST\tPATH\tPRIORITY\tATTEMPTS\tSTRETCH\tTARGET")
+		for _, q := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%g\t%v\n", q.Name, q.Pool, q.Host, q.Path, q.Policy.Priority, q.Policy.MaxAttempts, q.Policy.Stretch, q.Policy.Target)
+		}
+	})
+}
--- a/config/units.go
+++ b/config/units.go
@@ -27,6 +27,9 @@
 // String returns the value as it was written.
 func (d Duration) String() string { return d.raw }
 
+// Valid reports whether what was written can be read.
+func (d Duration) Valid() bool { return !d.bad }
+
 // UnmarshalJSON reads a duration. It never fails; see Duration.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var s string
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,9 @@
 	Ingress func(*intake.Desk, func() *workload.Catalog) http.Handler
 	// Metrics serves the node's figures; nil for none.
 	Metrics http.Handler
+	// Operators makes the handler of the operators' API, which is served beside the
+	// figures; nil for none.
+	Operators func(*intake.Desk, *peer.Owners, func() *workload.Catalog) http.Handler
 	// PeerTransport carries questions to peers; nil for the network.
 	PeerTransport http.RoundTripper
 }
@@ -102,6 +105,7 @@
 	keeper   *member.Keeper[*shard.Owner]
 	stewards *member.Keeper[*steward.Steward]
 	desk     *intake.Desk
+	owners   *peer.Owners
 	servers  []*http.Server
 	clients  *http.Server
 	leaving  atomic.Bool
@@ -123,11 +127,11 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: peerConns, IdleConnTimeout: idleTimeout}
 	}
-	owners := peer.NewOwners(n.keeper, n.roster, &http.Client{Transport: transport}, s.Clock, logger)
+	n.owners = peer.NewOwners(n.keeper, n.roster, &http.Client{Transport: transport}, s.Clock, logger)
 	if s.Machines != nil {
-		n.startSteward(ctx, owners)
+		n.startSteward(ctx, n.owners)
 	}
-	n.desk = intake.NewDesk(s.KV, owners, s.Clock, n.session.Proven, logger)
+	n.desk = intake.NewDesk(s.KV, n.owners, s.Clock, n.session.Proven, logger)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -174,7 +178,7 @@
 		{a.Clients, n.clients},
 		{a.Readiness, &http.Server{Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}},
 		{a.Peers, &http.Server{Handler: n.PeerHandler(), ReadHeaderTimeout: headerTimeout}},
-		{a.Metrics, &http.Server{Handler: n.services.Metrics, ReadHeaderTimeout: headerTimeout}},
+		{a.Metrics, &http.Server{Handler: n.operators(), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range serve {
 		if s.server.Handler == nil || s.address == "" {
@@ -194,6 +198,18 @@
 	return nil
 }
 
+// operators returns the handler of the figures and of the operators' API.
+func (n *Node) operators() http.Handler {
+	s := n.services
+	if s.Operators == nil || s.Metrics == nil {
+		return s.Metrics
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", s.Metrics)
+	mux.Handle("/v1/", s.Operators(n.desk, n.owners, n.configs.Catalog))
+	return mux
+}
+
 // Desk returns what takes jobs.
 func (n *Node) Desk() *intake.Desk { return n.desk }
 
--- a/workload/spec.go
+++ b/workload/spec.go
@@ -19,6 +19,22 @@
 	MaxPayload = 4000
 )
 
+// IDDigits is how many hexadecimal digits name a job.
+const IDDigits = 16
+
+// ValidID reports whether a customer may name a job so.
+func ValidID(id string) bool {
+	if len(id) != IDDigits {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
 // A Spec says what a job consists of. Its fields are exported because a codec
 // reads and writes them.
 type Spec struct {
