Take the answer to an order for a clock reading, not for an extension

Change: schedule/lifetime.go keeps apart what a predecessor may have extended, the last clock reading and the own extension. The answer to a pace shows no clock and is no reading any more.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -162,6 +162,59 @@
 	})
 }
 
+// A zone is cut off with the owner of a pool and the instances that run its tasks;
+// when the cut heals, orders get through before the first looks do. What the former
+// owner has extended goes on, so it must not start again beside that (tsogt-transit
+// scale-1 --seed 976056705912: an order's answer was taken for news of how long the
+// tasks may go on).
+func TestCutZoneHealsWithAnOrderFirst(t *testing.T) {
+	for _, healed := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		t.Run(healed.String(), func(t *testing.T) {
+			bubble(t, 3, func(c *cluster) { c.cutOwnerOff(t, healed) })
+		})
+	}
+}
+
+// cutOwnerOff cuts the owner of a pool off with the instances that run two jobs,
+// one of which is cancelled meanwhile, and heals the cut after some time.
+func (c *cluster) cutOwnerOff(t *testing.T, lasts time.Duration) {
+	const kept, cancelled = "00000000000000cc", "00000000000000dd"
+	q := queue(t, c.nodes["n0"].node, "shift-close")
+	submit(t, c.nodes["n0"].node, q, kept, twoSteps(8*time.Second))
+	submit(t, c.nodes["n0"].node, q, cancelled, twoSteps(8*time.Second))
+	time.Sleep(time.Second)
+	owner, cut := c.owner("shift"), c.fleet.Holding()
+	heals := time.Now().Add(lasts)
+	const looksLag = 700 * time.Millisecond
+	c.setNetwork(func(op string, to pointport.InstanceID) testbed.Fate {
+		inside, across := strings.HasPrefix(op, owner+" "), slices.Contains(cut, to)
+		lost := inside != across && time.Now().Before(heals)
+		if strings.HasSuffix(op, " hold") && !inside && across {
+			lost = time.Now().Before(heals.Add(looksLag))
+		}
+		return testbed.Fate{Latency: time.Millisecond, Lost: lost}
+	})
+	c.setStoreFate(func(node, _ string) memory.Fault {
+		if node == owner && time.Now().Before(heals) {
+			return memory.FaultLostCall
+		}
+		return memory.FaultNone
+	})
+	c.cutPeers(owner)
+	time.Sleep(1900 * time.Millisecond) // until another node owns the pool
+	for name, r := range c.nodes {
+		if name != owner {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = r.node.Desk().Cancel(ctx, q, cancelled) // its answer is not what is tested
+			cancel()
+			break
+		}
+	}
+	time.Sleep(time.Until(heals))
+	c.cutPeers()
+	c.eventually(c.nodes[owner].node, q, kept, workload.Completed, time.Minute)
+}
+
 // An instance that is lost for good is found out by the platform's list before
 // its time is over.
 func TestInstancesAreLostForGood(t *testing.T) {
@@ -472,16 +525,15 @@
 		spec := &workload.Spec{Steps: []workload.Step{{
 			Count: 5, Need: pointport.Shape{CPUMilli: 1500}, Estimate: 500 * time.Millisecond, Gang: true,
 		}}}
-		lose := true
 		c.setNetwork(func(op string, to pointport.InstanceID) testbed.Fate {
-			if lose && to == "m-02" && strings.HasSuffix(op, "start") {
+			if to == "m-02" && strings.HasSuffix(op, "start") {
 				return testbed.Fate{Lost: true}
 			}
 			return testbed.Fate{Latency: time.Millisecond}
 		})
 		submit(t, n, q, "00000000000000aa", spec)
 		time.Sleep(3 * time.Second)
-		lose = false
+		c.setNetwork(testbed.Reliable)
 		c.eventually(n, q, "00000000000000aa", workload.Completed, 20*time.Second)
 	}, withWork(work))
 }
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -190,11 +190,11 @@
 	w := b.workers[id]
 	if w == nil {
 		w = &Worker{
-			since:   now,
-			inc:     pointport.NewIncarnation(id, "", ""),
-			runs:    make(map[string]*Run),
-			steps:   make(map[stepOf]int),
-			expires: b.taken.Add(b.settings.PredecessorBound),
+			since: now,
+			inc:   pointport.NewIncarnation(id, "", ""),
+			runs:  make(map[string]*Run),
+			steps: make(map[stepOf]int),
+			life:  lifetime{inherited: b.taken.Add(b.settings.PredecessorBound)},
 		}
 		b.workers[id] = w
 	}
@@ -380,8 +380,8 @@
 	if w.ended {
 		return
 	}
-	w.answered(now, report.Clock)
-	w.silent = false
+	w.life.read(now, report.Clock)
+	w.silent = false // an answer to an order would not tell what the instance runs
 	for _, end := range report.Ended {
 		b.taskEnded(w, now, end)
 	}
@@ -575,7 +575,7 @@
 	b.checkFence(err)
 	if !w.silent {
 		event.WorkerSilent.Log(b.logger, slog.String("incarnation", string(w.inc.ID())),
-			slog.Duration("expiresIn", w.expires.Sub(now)), slog.Any("error", err))
+			slog.Duration("expiresIn", w.life.ends().Sub(now)), slog.Any("error", err))
 	}
 	w.fallSilent(now)
 	if now.Sub(w.silentSince) > abandonAfter {
@@ -640,14 +640,14 @@
 // everything there has ended, and forgets workers that are gone.
 func (b *Book) sweep(now time.Time) {
 	for id, w := range b.workers {
-		if len(w.runs) > 0 && now.After(w.expires) && (w.silent || w.heard.IsZero()) {
+		if len(w.runs) > 0 && now.After(w.life.ends()) && (w.silent || !w.life.known()) {
 			event.WorkerExpired.Log(b.logger, slog.String("incarnation", string(id)), slog.Int("runs", len(w.runs)))
 			for _, r := range w.runs {
 				w.burn(r)
 			}
 			b.dropAll(w, now, "its instance was silent until its time was over")
 		}
-		if len(w.runs) == 0 && !w.listed && (w.ended || now.After(w.expires)) {
+		if len(w.runs) == 0 && !w.listed && (w.ended || now.After(w.life.ends())) {
 			delete(b.workers, id)
 		}
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -58,8 +58,8 @@
 		b.workerEnded(w, now, "another incarnation answered")
 		return
 	}
-	if err == nil {
-		w.answered(now, clock)
+	if err == nil && o.Kind != OrderPace { // the answer to a pace shows no clock
+		w.life.read(now, clock)
 	}
 	b.checkFence(err)
 	var rejected *pointport.RejectedError
@@ -197,7 +197,7 @@
 			case r.stopping && now.Sub(r.stopAt) >= stopAgain:
 				r.stopAt = now
 				b.sends = append(b.sends, Order{Kind: OrderStop, Run: r, Worker: w, TaskRun: r.TaskRun()})
-			case r.state == runSent && !r.stopping && !r.detached() && !r.againAt.IsZero() && now.After(r.againAt) && now.Before(w.expires):
+			case r.state == runSent && !r.stopping && !r.detached() && !r.againAt.IsZero() && now.After(r.againAt) && now.Before(w.life.ends()):
 				r.againAt = time.Time{}
 				b.sends = append(b.sends, startOrder(r))
 			}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -10,12 +10,6 @@
 // This file defines what the owner of a pool knows of one incarnation.
 
 const (
-	// slowClock is by how much an instance's clock may run slow, as a factor on
-	// the time until it shows a deadline. The platform says 2%.
-	slowClock = 1.025
-	// lapseSlack covers the time between an instance's clock passing a deadline
-	// and the end of what ran there.
-	lapseSlack = 150 * time.Millisecond
 	// maxListedEnds is how many ends a report may list at once; the platform
 	// sets it. With as many, further ones may be missing.
 	maxListedEnds = 500
@@ -32,16 +26,8 @@
 	serving int
 	steps   map[stepOf]int
 
-	// heard is when the last answer came, zero before the first.
-	heard time.Time
-	// clock is what the instance's clock showed in the last answer.
-	clock pointport.InstanceClock
-	// until is the latest time on that clock to which the instance's tasks were
-	// extended.
-	until pointport.InstanceClock
-	// expires is when everything there has surely ended, if no further answer
-	// comes.
-	expires time.Time
+	// life says when everything there has surely ended, if no further answer comes.
+	life lifetime
 	// silent says that the last order or look got no answer.
 	silent      bool
 	silentSince time.Time
@@ -89,7 +75,7 @@
 func (w *Worker) Ended() bool { return w.ended }
 
 // Heard reports whether the worker has answered yet.
-func (w *Worker) Heard() bool { return !w.heard.IsZero() }
+func (w *Worker) Heard() bool { return w.life.known() }
 
 // Silent reports whether the last order or look got no answer.
 func (w *Worker) Silent() bool { return w.silent }
@@ -99,21 +85,10 @@
 // is not known, and nothing later than before while the instance is silent: it
 // may hear what it does not answer, and its tasks would never expire.
 func (w *Worker) Until(now time.Time, lease time.Duration) pointport.InstanceClock {
-	if w.heard.IsZero() || w.silent || len(w.burns) > 0 {
-		return w.until
+	if !w.life.known() || w.silent || len(w.burns) > 0 {
+		return w.life.last()
 	}
-	until := w.clock + pointport.InstanceClock(now.Sub(w.heard)+lease)
-	if until > w.until {
-		w.until = until
-		w.reckon()
-	}
-	return until
-}
-
-// reckon works out when everything on the worker has surely ended.
-func (w *Worker) reckon() {
-	left := time.Duration(w.until - w.clock)
-	w.expires = w.heard.Add(time.Duration(float64(left)*slowClock) + lapseSlack)
+	return w.life.extend(now, lease)
 }
 
 // fallSilent takes in that the worker gives no answer.
@@ -123,16 +98,6 @@
 	}
 }
 
-// answered takes in that an answer came at now that showed clock. Only a report
-// ends a silence: what an instance runs after one is not known before.
-func (w *Worker) answered(now time.Time, clock pointport.InstanceClock) {
-	if clock < w.clock {
-		return // an answer that was passed by a newer one
-	}
-	w.heard, w.clock = now, clock
-	w.reckon()
-}
-
 // usable reports whether new tasks may be placed on the worker.
 func (w *Worker) usable(now time.Time) bool { return w.barred(now) == "" }
 
@@ -143,7 +108,7 @@
 		return "not registered"
 	case w.ended:
 		return "over"
-	case w.heard.IsZero(), w.silent:
+	case !w.life.known(), w.silent:
 		return "silent"
 	case w.inc.Draining():
 		return "leaving"
