Mend what the race detector finds

Cause: in the product, the goroutine of an order read the worker's registration while the owner's loop replaced it. In the fleet and the store in memory, calls that are carried out late wrote to the results of callers that had gone; in tests, flags were shared without a lock.

Change: the loop reads the endpoint before it sends. Calls in memory return their answer as a value, so that a late one has nowhere to write; a lost answer of a commit no longer returns its revision beside the error.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,8 +182,9 @@
 		store := memory.New(clock.System{})
 		kv := store.KV()
 		ctx, cancel := context.WithCancel(context.Background())
+		var mu sync.Mutex
 		known := make(map[string]string)
-		apply := func(entries []pointport.Entry) {
+		take := func(entries []pointport.Entry) {
 			for _, e := range entries {
 				if e.Exists() {
 					known[e.Key()] = string(e.Value())
@@ -190,9 +193,21 @@
 				}
 			}
 		}
+		apply := func(entries []pointport.Entry) {
+			mu.Lock()
+			defer mu.Unlock()
+			take(entries)
+		}
 		reset := func(entries []pointport.Entry) {
+			mu.Lock()
+			defer mu.Unlock()
 			clear(known)
-			apply(entries)
+			take(entries)
+		}
+		knows := func() map[string]string {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(known)
 		}
 		go member.Follow(ctx, kv, clock.System{}, "x/", reset, apply)
 		put := func(key, value string) {
@@ -209,15 +224,15 @@
 			t.Error(err)
 		}
 		time.Sleep(member.DefaultReread + 2*time.Second)
-		if len(known) != 1 || known["x/2"] != "b" {
-			t.Errorf("while deaf it knows %v", known)
+		if got := knows(); len(got) != 1 || got["x/2"] != "b" {
+			t.Errorf("while deaf it knows %v", got)
 		}
 		store.SetDeaf(false)
 		store.Forget()
 		put("x/3", "c")
 		time.Sleep(2 * time.Second)
-		if len(known) != 2 || known["x/3"] != "c" {
-			t.Errorf("it knows %v", known)
+		if got := knows(); len(got) != 2 || got["x/3"] != "c" {
+			t.Errorf("it knows %v", got)
 		}
 		cancel()
 		time.Sleep(10 * time.Second)
--- a/memory/kv.go
+++ b/memory/kv.go
@@ -60,18 +60,19 @@
 // errDeaf is the cause of a call's end without an answer.
 var errDeaf = errors.New("stand-in store gave no answer")
 
-// call runs one operation under its fault. A call without an answer waits until
-// its context ends, as on a network.
-func (k *KV) call(ctx context.Context, op, key string, changes bool, run func() error) error {
+// call runs one operation under its fault and returns its answer. A call without an
+// answer waits until its context ends, as on a network.
+func call[T any](ctx context.Context, k *KV, op, key string, changes bool, run func() (T, error)) (T, error) {
+	var none T
 	if err := k.sleep(ctx, k.latency); err != nil {
-		return &pointport.UnavailableError{Op: op, Key: key, Ambiguous: changes, Err: err}
+		return none, &pointport.UnavailableError{Op: op, Key: key, Ambiguous: changes, Err: err}
 	}
 	fault := k.inject(op, key)
 	switch fault {
 	case FaultBefore:
-		return &pointport.UnavailableError{Op: op, Key: key, Err: errDown}
+		return none, &pointport.UnavailableError{Op: op, Key: key, Err: errDown}
 	case FaultLostCall:
-		return k.silence(ctx, op, key, changes)
+		return none, k.silence(ctx, op, key, changes)
 	case FaultLate:
 		go func() {
 			<-k.store.clock.After(lateBy)
@@ -79,18 +80,18 @@
 			defer k.store.mu.Unlock()
 			k.store.expire()
 			// Its caller has long gone and hears of no refusal.
-			_ = run()
+			_, _ = run()
 		}()
-		return k.silence(ctx, op, key, changes)
+		return none, k.silence(ctx, op, key, changes)
 	}
 	k.store.mu.Lock()
 	k.store.expire()
-	err := run()
+	answer, err := run()
 	k.store.mu.Unlock()
 	if fault == FaultLostAnswer {
-		return k.silence(ctx, op, key, changes)
+		return none, k.silence(ctx, op, key, changes)
 	}
-	return err
+	return answer, err
 }
 
 // lateBy is how much later a late call is carried out.
@@ -122,13 +123,10 @@
 
 // Get returns the state of key.
 func (k *KV) Get(ctx context.Context, key string) (pointport.Entry, error) {
-	var e pointport.Entry
-	err := k.call(ctx, "get", key, false, func() error {
+	return call(ctx, k, "get", key, false, func() (pointport.Entry, error) {
 		k.store.counts.Reads++
-		e = k.store.entry(key)
-		return nil
+		return k.store.entry(key), nil
 	})
-	return e, err
 }
 
 // Commit makes a change of several keys.
@@ -137,13 +135,9 @@
 	if len(txn.Put) > 0 {
 		name = txn.Put[0].Key
 	}
-	var at pointport.Revision
-	err := k.call(ctx, "commit", name, true, func() error {
-		var err error
-		at, err = k.store.commit(txn)
-		return err
+	return call(ctx, k, "commit", name, true, func() (pointport.Revision, error) {
+		return k.store.commit(txn)
 	})
-	return at, err
 }
 
 // commit makes a change. The lock is held.
@@ -202,13 +196,10 @@
 
 // Range returns the keys under prefix that come after the key named.
 func (k *KV) Range(ctx context.Context, prefix, after string) (pointport.Page, error) {
-	var page pointport.Page
-	err := k.call(ctx, "range", prefix, false, func() error {
+	return call(ctx, k, "range", prefix, false, func() (pointport.Page, error) {
 		k.store.counts.Reads++
-		page = k.store.page(prefix, after)
-		return nil
+		return k.store.page(prefix, after), nil
 	})
-	return page, err
 }
 
 func (s *Store) page(prefix, after string) pointport.Page {
@@ -225,30 +216,33 @@
 	return page
 }
 
+// A heardOf is what a watch has found, and when to look again.
+type heardOf struct {
+	changes pointport.Changes
+	next    <-chan struct{}
+}
+
 // WatchPrefix returns the changes of keys under prefix after a revision.
 func (k *KV) WatchPrefix(ctx context.Context, prefix string, after pointport.Revision, wait time.Duration) (pointport.Changes, error) {
 	end := k.store.clock.After(wait)
 	for {
-		var found pointport.Changes
-		var changed chan struct{}
-		err := k.call(ctx, "watch", prefix, false, func() error {
+		heard, err := call(ctx, k, "watch", prefix, false, func() (heardOf, error) {
 			k.store.counts.Watches++
 			if after < k.store.forgotten {
-				return &pointport.CompactedError{Prefix: prefix, After: after}
+				return heardOf{}, &pointport.CompactedError{Prefix: prefix, After: after}
 			}
-			changed = k.store.changed
-			if !k.store.deaf {
-				found = k.store.since(prefix, after)
+			if k.store.deaf {
+				return heardOf{next: k.store.changed}, nil
 			}
-			return nil
+			return heardOf{k.store.since(prefix, after), k.store.changed}, nil
 		})
-		if err != nil || len(found.Entries) > 0 {
-			return found, err
+		if err != nil || len(heard.changes.Entries) > 0 {
+			return heard.changes, err
 		}
 		select {
-		case <-changed:
+		case <-heard.next:
 		case <-end:
-			return pointport.Changes{At: max(found.At, after)}, nil
+			return pointport.Changes{At: max(heard.changes.At, after)}, nil
 		case <-ctx.Done():
 			return pointport.Changes{}, &pointport.UnavailableError{Op: "watch", Key: prefix, Err: ctx.Err()}
 		}
@@ -294,46 +288,45 @@
 
 // Grant makes a lease.
 func (k *KV) Grant(ctx context.Context, ttl time.Duration) (pointport.LeaseID, error) {
-	var id pointport.LeaseID
-	err := k.call(ctx, "grant", "", true, func() error {
+	return call(ctx, k, "grant", "", true, func() (pointport.LeaseID, error) {
 		s := k.store
 		s.counts.Leases++
 		s.lastGrant++
-		id = s.lastGrant
-		s.grants[id] = &grant{ttl: ttl, until: s.clock.Now().Add(ttl)}
+		s.grants[s.lastGrant] = &grant{ttl: ttl, until: s.clock.Now().Add(ttl)}
 		s.wakeAfter(ttl)
-		return nil
+		return s.lastGrant, nil
 	})
-	return id, err
 }
 
 // Renew starts a lease's time anew.
 func (k *KV) Renew(ctx context.Context, lease pointport.LeaseID) error {
-	return k.call(ctx, "renew", "", true, func() error {
+	_, err := call(ctx, k, "renew", "", true, func() (struct{}, error) {
 		s := k.store
 		s.counts.Leases++
 		g := s.grants[lease]
 		if g == nil {
-			return &pointport.LeaseEndedError{Lease: lease}
+			return struct{}{}, &pointport.LeaseEndedError{Lease: lease}
 		}
 		g.until = s.clock.Now().Add(g.ttl)
 		s.wakeAfter(g.ttl)
-		return nil
+		return struct{}{}, nil
 	})
+	return err
 }
 
 // Revoke ends a lease; its keys go at once.
 func (k *KV) Revoke(ctx context.Context, lease pointport.LeaseID) error {
-	return k.call(ctx, "revoke", "", true, func() error {
+	_, err := call(ctx, k, "revoke", "", true, func() (struct{}, error) {
 		s := k.store
 		s.counts.Leases++
 		if s.grants[lease] == nil {
-			return &pointport.LeaseEndedError{Lease: lease}
+			return struct{}{}, &pointport.LeaseEndedError{Lease: lease}
 		}
 		s.end(lease)
 		s.wake()
-		return nil
+		return struct{}{}, nil
 	})
+	return err
 }
 
 // wakeAfter has waiting watches look again once a lease may have ended.
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,7 +158,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	begun := time.Now()
-	p := &play{cluster: c, script: s, accepted: make([]bool, len(s.jobs)), cancelled: make([]bool, len(s.jobs))}
+	p := &play{cluster: c, script: s, accepted: make([]atomic.Bool, len(s.jobs)), cancelled: make([]atomic.Bool, len(s.jobs))}
 	var all sync.WaitGroup
 	for n := range s.jobs {
 		all.Go(func() { p.submit(n) })
@@ -182,8 +183,8 @@
 type play struct {
 	cluster             *cluster
 	script              *script
-	accepted, cancelled []bool
-	busy                [3]bool // nodes that are down or about to be
+	accepted, cancelled []atomic.Bool
+	busy                [3]atomic.Bool // nodes that are down or about to be
 }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
@@ -210,7 +211,7 @@
 			err := r.node.Desk().Submit(ctx, p.queue(r, n), jobID(n), p.script.jobs[n])
 			cancel()
 			if err == nil {
-				p.accepted[n] = true
+				p.accepted[n].Store(true)
 				return
 			}
 		}
@@ -226,12 +227,12 @@
 func (p *play) cancelLater(n int, at time.Duration) {
 	time.Sleep(at)
 	for try := range 400 {
-		if r := p.any(n + try); r != nil && p.accepted[n] {
+		if r := p.any(n + try); r != nil && p.accepted[n].Load() {
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			err := r.node.Desk().Cancel(ctx, p.queue(r, n), jobID(n))
 			cancel()
 			if err == nil {
-				p.cancelled[n] = true
+				p.cancelled[n].Store(true)
 				return
 			}
 		}
@@ -248,10 +249,9 @@
 	none := func(string, pointport.InstanceID) testbed.Fate { return testbed.Fate{Latency: time.Millisecond} }
 	switch tr.kind {
 	case "kill", "stop":
-		if p.busy[tr.index%3] {
+		if !p.busy[tr.index%3].CompareAndSwap(false, true) {
 			return
 		}
-		p.busy[tr.index%3] = true
 		if tr.kind == "kill" {
 			c.kill(name)
 		} else {
@@ -259,7 +259,7 @@
 		}
 		time.Sleep(tr.lasts)
 		c.start(name)
-		p.busy[tr.index%3] = false
+		p.busy[tr.index%3].Store(false)
 	case "crash":
 		c.fleet.Crash(id, tr.lasts)
 	case "drain":
@@ -358,11 +358,11 @@
 		var unknown *intake.UnknownJobError
 		want := workload.Completed
 		switch {
-		case !p.accepted[n]:
+		case !p.accepted[n].Load():
 			return fmt.Sprintf("job %d was not accepted", n)
-		case p.cancelled[n] && status == workload.Completed && !spec.Lasts():
+		case p.cancelled[n].Load() && status == workload.Completed && !spec.Lasts():
 			continue // it was done before
-		case p.cancelled[n]:
+		case p.cancelled[n].Load():
 			want = workload.Cancelled
 		case spec.Lasts():
 			want = workload.Running
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -10,8 +10,7 @@
 // Invariants:
 //
 //   - No start is sent before the batch that names it is stored.
-//   - Nothing is sent while this member cannot prove its lease, but for looks,
-//     which extend what runs for as long as the peers have no store either.
+//   - Nothing is sent while this member cannot prove its lease.
 //   - Whatever the store refuses because of another owner ends the Owner.
 package shard
 
@@ -360,9 +359,9 @@
 		order := l.queue[0]
 		l.queue = l.queue[1:]
 		l.inFlight++
-		until := w.Until(o.clock.Now(), o.lease)
+		at, until := w.Endpoint(), w.Until(o.clock.Now(), o.lease) // the loop alone may read the worker
 		go func() {
-			clock, err := o.carryOut(ctx, order, until)
+			clock, err := o.carryOut(ctx, at, order, until)
 			o.do(func(now time.Time) {
 				l.inFlight--
 				o.book.Answered(order, now, clock, err)
@@ -377,8 +376,7 @@
 	}
 }
 
-func (o *Owner) carryOut(ctx context.Context, order schedule.Order, until pointport.InstanceClock) (pointport.InstanceClock, error) {
-	at := order.Worker.Endpoint()
+func (o *Owner) carryOut(ctx context.Context, at pointport.Endpoint, order schedule.Order, until pointport.InstanceClock) (pointport.InstanceClock, error) {
 	switch order.Kind {
 	case schedule.OrderStop:
 		return o.executor.Stop(ctx, at, pointport.StopOrder{TaskRun: order.TaskRun, Fence: o.own.Fence})
--- a/testbed/network.go
+++ b/testbed/network.go
@@ -43,8 +43,10 @@
 // Executor returns a way to send orders over a network.
 func (f *Fleet) Executor(network Network) *Executor { return &Executor{f, network} }
 
-// call carries out an order under its fate.
-func (e *Executor) call(ctx context.Context, op string, at pointport.Endpoint, carryOut func(*incarnation, time.Time) error) error {
+// call carries out an order under its fate and returns what it was answered. An
+// order that is carried out late answers nobody.
+func call[T any](ctx context.Context, e *Executor, op string, at pointport.Endpoint, carryOut func(*incarnation, time.Time) (T, error)) (T, error) {
+	var none T
 	f := e.fleet
 	f.mu.Lock()
 	life := f.lives[at.Incarnation]
@@ -55,10 +57,10 @@
 	f.mu.Unlock()
 	fate := e.network(op, id)
 	if !sleep(ctx, f.clock, fate.Latency) {
-		return e.silent(ctx, op, at, 0)
+		return none, e.silent(ctx, op, at, 0)
 	}
 	if fate.Lost {
-		return e.silent(ctx, op, at, answerTimeout)
+		return none, e.silent(ctx, op, at, answerTimeout)
 	}
 	if fate.Late > 0 {
 		wake := f.clock.After(fate.Late)
@@ -69,24 +71,24 @@
 			if life != nil && !life.over {
 				life.advance(f.clock.Now())
 				// Its caller has long gone and hears of no refusal.
-				_ = carryOut(life, f.clock.Now())
+				_, _ = carryOut(life, f.clock.Now())
 			}
 		}()
-		return e.silent(ctx, op, at, answerTimeout)
+		return none, e.silent(ctx, op, at, answerTimeout)
 	}
 	f.mu.Lock()
 	if life == nil || life.over {
 		f.mu.Unlock()
-		return e.silent(ctx, op, at, answerTimeout)
+		return none, e.silent(ctx, op, at, answerTimeout)
 	}
 	now := f.clock.Now()
 	life.advance(now)
-	err := carryOut(life, now)
+	answer, err := carryOut(life, now)
 	f.mu.Unlock()
 	if fate.Mute {
-		return e.silent(ctx, op, at, answerTimeout)
+		return none, e.silent(ctx, op, at, answerTimeout)
 	}
-	return err
+	return answer, err
 }
 
 // silent waits for an answer that does not come.
@@ -110,32 +112,34 @@
 
 // Start starts a run.
 func (e *Executor) Start(ctx context.Context, at pointport.Endpoint, o pointport.StartOrder) (pointport.InstanceClock, error) {
-	var clock pointport.InstanceClock
-	err := e.call(ctx, "start", at, func(i *incarnation, now time.Time) error {
-		clock = i.clock(now)
-		return i.start(now, o)
+	return call(ctx, e, "start", at, func(i *incarnation, now time.Time) (pointport.InstanceClock, error) {
+		return i.clock(now), i.start(now, o)
 	})
-	return clock, err
 }
 
 // Stop stops a run.
 func (e *Executor) Stop(ctx context.Context, at pointport.Endpoint, o pointport.StopOrder) (pointport.InstanceClock, error) {
-	var clock pointport.InstanceClock
-	err := e.call(ctx, "stop", at, func(i *incarnation, now time.Time) error {
-		clock = i.clock(now)
-		return i.stop(now, o)
+	return call(ctx, e, "stop", at, func(i *incarnation, now time.Time) (pointport.InstanceClock, error) {
+		return i.clock(now), i.stop(now, o)
 	})
-	return clock, err
 }
 
 // Pace sets the share of its work that a run may do, which changes nothing here.
 func (e *Executor) Pace(ctx context.Context, at pointport.Endpoint, o pointport.PaceOrder) error {
-	return e.call(ctx, "pace", at, func(i *incarnation, _ time.Time) error {
+	_, err := call(ctx, e, "pace", at, func(i *incarnation, _ time.Time) (struct{}, error) {
 		if err := i.admit(o.Fence, 0); err != nil {
-			return err
+			return struct{}{}, err
 		}
-		return nil
+		return struct{}{}, nil
 	})
+	return err
+}
+
+// A held is what a hold is answered, and when to look again if nothing has ended.
+type held struct {
+	report  pointport.Report
+	changed <-chan struct{}
+	next    time.Duration
 }
 
 // Hold extends the time of what runs, and returns what runs and has ended once
@@ -143,21 +147,17 @@
 func (e *Executor) Hold(ctx context.Context, at pointport.Endpoint, o pointport.HoldOrder) (pointport.Report, error) {
 	end := e.fleet.clock.After(o.Wait)
 	for first := true; ; first = false {
-		var report pointport.Report
-		var changed chan struct{}
-		var next time.Duration
-		hold := func(i *incarnation, now time.Time) error {
-			var err error
-			report, err = i.report(now, o)
-			changed, next = e.fleet.changed, i.untilNext(now)
-			return err
-		}
-		if err := e.attempt(ctx, first, at, hold); err != nil || len(report.Ended) > 0 || o.Wait <= 0 {
-			return report, err
+		wait := o.Wait
+		h, err := call(ctx, e.reach(first), "hold", at, func(i *incarnation, now time.Time) (held, error) {
+			report, err := i.report(now, o)
+			return held{report, e.fleet.changed, i.untilNext(now)}, err
+		})
+		if err != nil || len(h.report.Ended) > 0 || wait <= 0 {
+			return h.report, err
 		}
 		select {
-		case <-changed:
-		case <-e.fleet.clock.After(next):
+		case <-h.changed:
+		case <-e.fleet.clock.After(h.next):
 		case <-end:
 			o.Wait = 0
 		case <-ctx.Done():
@@ -166,14 +166,13 @@
 	}
 }
 
-// attempt sends a hold over the network the first time, and looks again at the
-// instance itself after that.
-func (e *Executor) attempt(ctx context.Context, first bool, at pointport.Endpoint, hold func(*incarnation, time.Time) error) error {
+// reach returns how a hold reaches its instance: over the network the first time,
+// and by looking again at the instance itself after that.
+func (e *Executor) reach(first bool) *Executor {
 	if first {
-		return e.call(ctx, "hold", at, hold)
+		return e
 	}
-	local := &Executor{e.fleet, func(string, pointport.InstanceID) Fate { return Fate{} }}
-	return local.call(ctx, "hold", at, hold)
+	return &Executor{e.fleet, func(string, pointport.InstanceID) Fate { return Fate{} }}
 }
 
 // untilNext returns how long it is until something ends by itself.
