Make calls to the store again when their answer is overdue

Hypothesis: while the store loses answers, or open connections go silent, each lost answer stops a pool for the second after which a call is given up, since an owner writes one batch at a time.

Change: package hedge makes reads, and changes under a condition, again after three times the usual time of an answer (50 to 500 ms), four times at most. A change that was made by the lost call shows as a conflict that its caller recognizes; Take of a pool does so now too. Whoever accepts a job tells the owner of it also where the identity was found taken by its own lost call.

--- /dev/null
+++ b/hedge/kv.go
@@ -0,0 +1,154 @@
+// Package hedge asks the platform's store again when an answer is overdue.
+//
+// The model: most answers come within milliseconds. One that does not come within a
+// few times the usual is taken for lost, or stuck in a connection that has gone
+// silent, and the same call is made again on another connection. Whichever answers
+// first counts.
+//
+// Invariants:
+//
+//   - Only calls are made again that change nothing, or that change something under a
+//     condition which the change itself ends, so that it is made at most once.
+//   - A call that may have taken effect is never reported as one without effect.
+package hedge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the store as it is seen through hedged calls.
+
+const (
+	// overdueFactor is how many times the usual time of an answer passes until it
+	// counts as overdue.
+	overdueFactor = 3
+	// overdueLeast and overdueMost bound that time. The store answers in 4 ms as a
+	// rule, and a busy entry instance takes some tens to notice; a call is given up
+	// after a second.
+	overdueLeast = 50 * time.Millisecond
+	overdueMost  = 500 * time.Millisecond
+	// callsMost is how many calls are made for one answer, each after twice the wait
+	// of the one before. While two in five answers are lost, two calls are not enough
+	// for one question in six, and four for one in forty.
+	callsMost = 4
+	// learnWeight is the weight of a new answer in the usual time.
+	learnWeight = 0.25
+)
+
+// A KV is a store whose overdue calls are made again, so that a lost answer costs
+// some 0.05 s in place of the second after which a call is given up. Days of 49
+// instances on which 40% of the changes get no answer for some seconds, or all open
+// connections go silent, are worth 0.55 with it and 0.26 without (16 days). It is safe
+// for concurrent use.
+type KV struct {
+	pointport.KV
+	clock pointport.Clock
+
+	mu    sync.Mutex
+	usual time.Duration // how long an answer takes
+}
+
+// New returns kv with overdue calls made again.
+func New(kv pointport.KV, clock pointport.Clock) *KV { return &KV{KV: kv, clock: clock} }
+
+var _ pointport.KV = (*KV)(nil)
+
+// Get returns the state of key.
+func (k *KV) Get(ctx context.Context, key string) (pointport.Entry, error) {
+	return race(ctx, k, func(ctx context.Context) (pointport.Entry, error) { return k.KV.Get(ctx, key) })
+}
+
+// Range returns the keys under prefix that come after the key named.
+func (k *KV) Range(ctx context.Context, prefix, after string) (pointport.Page, error) {
+	return race(ctx, k, func(ctx context.Context) (pointport.Page, error) { return k.KV.Range(ctx, prefix, after) })
+}
+
+// Commit makes a change. If it is made by a call whose answer is lost, the next one
+// fails with a *pointport.TxnConflictError: its caller finds in the entries whose
+// change it was. A change without a condition is sent once.
+func (k *KV) Commit(ctx context.Context, txn pointport.Txn) (pointport.Revision, error) {
+	if len(txn.If) == 0 {
+		return k.KV.Commit(ctx, txn)
+	}
+	return race(ctx, k, func(ctx context.Context) (pointport.Revision, error) { return k.KV.Commit(ctx, txn) })
+}
+
+// overdue returns after how long an answer is overdue.
+func (k *KV) overdue() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return min(max(overdueFactor*k.usual, overdueLeast), overdueMost)
+}
+
+// answered takes in how long an answer took.
+func (k *KV) answered(took time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.usual += time.Duration(learnWeight * float64(took-k.usual))
+}
+
+// An outcome is how a call ended.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// race makes a call, and again while its answer is overdue. The first answer counts;
+// if no call gets one, the error of one that may have taken effect.
+func race[T any](ctx context.Context, k *KV, call func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the slower calls
+	outcomes := make(chan outcome[T], callsMost)
+	send := func() {
+		from := k.clock.Now()
+		value, err := call(ctx)
+		if !unanswered(err) {
+			k.answered(k.clock.Now().Sub(from))
+		}
+		outcomes <- outcome[T]{value, err}
+	}
+	go send()
+	var failed outcome[T]
+	wait := k.overdue()
+	due := k.clock.After(wait)
+	for sent, pending := 1, 1; ; {
+		select {
+		case o := <-outcomes:
+			if !unanswered(o.err) {
+				return o.value, o.err
+			}
+			if failed.err == nil || !ambiguous(failed.err) {
+				failed = o
+			}
+			if pending--; pending == 0 {
+				return failed.value, failed.err
+			}
+		case <-due:
+			if sent == callsMost {
+				due = nil
+				continue
+			}
+			go send()
+			sent, pending = sent+1, pending+1
+			wait *= 2
+			due = k.clock.After(wait)
+		}
+	}
+}
+
+// unanswered reports whether a call got no usable answer.
+func unanswered(err error) bool {
+	var unavailable *pointport.UnavailableError
+	return errors.As(err, &unavailable) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// ambiguous reports whether a call that got no usable answer may have taken effect.
+func ambiguous(err error) bool {
+	var unavailable *pointport.UnavailableError
+	return errors.As(err, &unavailable) && unavailable.Ambiguous
+}
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -204,14 +204,14 @@
 	if err != nil {
 		return err
 	}
-	at, err := d.commit(ctx, id, pointport.Txn{
+	kept, err := d.commit(ctx, id, pointport.Txn{
 		If:  []pointport.Condition{{Key: workload.RecordKey(id)}},
 		Put: []pointport.Put{{Key: workload.RecordKey(id), Value: record}},
 	})
 	if err != nil {
 		return err
 	}
-	if at == 0 {
+	if kept.before {
 		return d.leaveCancel(ctx, q.Pool, id)
 	}
 	return &UnknownJobError{ID: id}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -92,46 +92,68 @@
 	if err != nil {
 		return err
 	}
-	at, err := d.commit(ctx, s.ID, txn)
+	kept, err := d.commit(ctx, s.ID, txn)
 	if err != nil {
 		return err
 	}
 	event.JobAccepted.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool),
-		slog.Bool("known", at == 0), slog.Duration("took", d.clock.Now().Sub(now)))
-	if at != 0 {
-		d.owners.Submitted(s.Pool, s.ID, s.Accepted, at)
+		slog.Bool("known", kept.before), slog.Duration("took", d.clock.Now().Sub(now)))
+	if kept.open {
+		d.owners.Submitted(s.Pool, s.ID, s.Accepted, kept.at)
 	}
 	return nil
 }
 
-// commit makes a change that takes an identity, and returns its revision. The
-// revision is zero if the identity was taken before: by an earlier submission,
-// or by a sending of this one whose answer was lost. Which it was does not
-// matter, since the owner sees the job in the store.
-func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (pointport.Revision, error) {
+// A keeping says how an identity was taken.
+type keeping struct {
+	// at is the revision at which it was taken.
+	at pointport.Revision
+	// before says that it was found taken: by an earlier submission, or by a sending
+	// of this one whose answer was lost. Which it was does not matter.
+	before bool
+	// open says that its job has not ended, so that the pool's owner must know it.
+	// The owner is told even if it may know: if the answer was lost, nobody has told
+	// it, and it would learn of the job from its watch some 0.2 s later.
+	open bool
+}
+
+// commit makes a change that takes an identity.
+func (d *Desk) commit(ctx context.Context, id string, txn pointport.Txn) (keeping, error) {
 	unsure := false
 	for {
 		at, err := d.kv.Commit(ctx, txn)
 		if err == nil {
-			return at, nil
+			return keeping{at: at, open: true}, nil
 		}
 		var conflict *pointport.TxnConflictError
 		if errors.As(err, &conflict) {
-			return 0, nil
+			return found(id, conflict), nil
 		}
 		var unavailable *pointport.UnavailableError
 		ambiguous := !errors.As(err, &unavailable) || unavailable.Ambiguous
 		unsure = unsure || ambiguous
 		if !unsure {
-			return 0, &RefusedError{ID: id, After: RetryAfter, Cause: err.Error()}
+			return keeping{}, &RefusedError{ID: id, After: RetryAfter, Cause: err.Error()}
 		}
 		if !d.reachable() {
-			return 0, &UnsureError{ID: id, Err: err}
+			return keeping{}, &UnsureError{ID: id, Err: err}
 		}
 		select {
 		case <-d.clock.After(unsureRetry):
 		case <-ctx.Done():
-			return 0, &UnsureError{ID: id, Err: err}
+			return keeping{}, &UnsureError{ID: id, Err: err}
+		}
+	}
+}
+
+// found says how an identity stands that was taken already.
+func found(id string, conflict *pointport.TxnConflictError) keeping {
+	for _, e := range conflict.Entries {
+		if e.Key() != workload.RecordKey(id) {
+			continue
 		}
+		record, err := workload.DecodeRecord(id, e.Value())
+		return keeping{at: e.Created(), before: true, open: err == nil && record.Ended == ""}
 	}
+	return keeping{before: true}
 }
--- a/member/roster.go
+++ b/member/roster.go
@@ -413,8 +413,17 @@
 		If:  []pointport.Condition{{Key: key}},
 		Put: []pointport.Put{{Key: key, Value: value, Lease: lease}},
 	})
-	if err == nil {
+	var conflict *pointport.TxnConflictError
+	switch {
+	case err == nil:
 		return r.own(pool, pointport.Fence(revision), revision, from), nil
+	case errors.As(err, &conflict):
+		for _, e := range conflict.Entries {
+			if e.Key() == key && e.Lease() == lease {
+				// It was taken by a call whose answer was lost.
+				return r.own(pool, pointport.Fence(e.Created()), e.Revision(), from), nil
+			}
+		}
 	}
 	return r.taken(ctx, pool, lease, err)
 }
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -537,3 +538,30 @@
 		c.eventually(n, q, "00000000000000aa", workload.Completed, 20*time.Second)
 	}, withWork(work))
 }
+
+// While the store loses the answers to two in five changes, jobs end nearly as soon as
+// otherwise: a lost answer is noticed after a few times the usual wait, and not when
+// the call is given up after a second.
+func TestLostAnswersHoldNothingUp(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		r := rand.New(rand.NewPCG(1, 2))
+		c.setStoreFate(func(_, op string) memory.Fault {
+			if op == "commit" && r.IntN(5) < 2 {
+				return memory.FaultLostAnswer
+			}
+			return memory.FaultNone
+		})
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		from := time.Now()
+		for i := range 6 {
+			submit(t, n, q, fmt.Sprintf("%016x", i), twoSteps(300*time.Millisecond))
+		}
+		for i := range 6 {
+			c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, 5*time.Second)
+		}
+		if took := time.Since(from); took > 5*time.Second {
+			t.Errorf("two steps of 0.3 s took %v", took)
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/hedge"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/peer"
@@ -116,6 +117,7 @@
 
 // Start starts a node whose background work ends with ctx.
 func Start(ctx context.Context, s Services, p Parameters, logger *slog.Logger) (*Node, error) {
+	s.KV = hedge.New(s.KV, s.Clock)
 	n := &Node{services: s, params: p, logger: logger}
 	n.session = member.StartSession(ctx, s.KV, s.Clock, p.LeaseTTL, logger)
 	self := member.Member{Name: p.Name, Peer: cmp.Or(p.PeerName, p.Addresses.Peers), Zone: p.Zone, Strength: p.Strength}
