Store a batch in one transaction, the pressing first, and place no more than it takes

A batch reserved three entries for each record, so it went in transactions of nine jobs, one after the other, and starts were sent after the last of them.

Change: a record takes the entries that it needs (one while its job is open); a batch is one transaction, jobs for which something waits before others; ends are acknowledged once nothing is left. Tasks are placed for 24 jobs at most until they are stored. Whoever waits for a cancellation is told once its job is stored.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -51,6 +51,8 @@
 	written   *logs // the same lines as nodes write them
 	// still says that nobody moves or maintains instances.
 	still bool
+	// latency is how long each call to the store takes.
+	latency time.Duration
 }
 
 type running struct {
@@ -96,6 +98,11 @@
 	return func(c *cluster, _ *[]testbed.Option) { c.still = true }
 }
 
+// withSlowStore has each call to the store take so long.
+func withSlowStore(d time.Duration) clusterOption {
+	return func(c *cluster, _ *[]testbed.Option) { c.latency = d }
+}
+
 func withoutGuards() clusterOption {
 	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithGuards(false)) }
 }
@@ -106,7 +113,7 @@
 	c := &cluster{
 		t: t, store: memory.New(clock.System{}), network: testbed.Reliable,
 		storeFate: func(string, string) memory.Fault { return memory.FaultNone },
-		peersCut:  make(map[string]bool), nodes: make(map[string]*running), logs: &logs{}, written: &logs{},
+		peersCut:  make(map[string]bool), nodes: make(map[string]*running), logs: &logs{}, written: &logs{}, latency: time.Millisecond,
 	}
 	c.kv = c.store.KV()
 	fleetOptions := []testbed.Option{testbed.WithSpare(spareName), testbed.WithRegister(c.register)}
@@ -223,7 +230,7 @@
 		return c.network(name+" "+op, to)
 	}
 	services := node.Services{
-		KV:       c.store.KV(memory.WithFaults(inject), memory.WithLatency(time.Millisecond)),
+		KV:       c.store.KV(memory.WithFaults(inject), memory.WithLatency(c.latency)),
 		Executor: c.fleet.Executor(network), Clock: clock.System{},
 		Config: node.Source[*workload.Catalog]{Prefix: configKey, Decode: func(e pointport.Entry) (*workload.Catalog, error) {
 			var k workload.Catalog
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -565,3 +566,31 @@
 		}
 	})
 }
+
+// While the store takes 0.3 s for an answer, jobs go on: a batch takes one call, not
+// one for each nine jobs, and no more is placed than a batch takes.
+func TestSlowStoreHoldsLittleUp(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		time.Sleep(10 * time.Second) // until pools have owners and have settled
+		const jobs, starts = 100, 100 * 7
+		from := time.Now()
+		var all sync.WaitGroup
+		for i := range jobs {
+			spec := twoSteps(300 * time.Millisecond)
+			for n := range spec.Steps {
+				spec.Steps[n].Need.CPUMilli = 20 // room is not what they wait for
+			}
+			spec.Payload = "duration=300ms cpu=20 memory=128"
+			all.Go(func() { submit(t, n, q, fmt.Sprintf("%016x", i), spec) })
+		}
+		all.Wait()
+		for c.fleet.Starts() < starts && time.Since(from) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if took := time.Since(from); took > 5200*time.Millisecond {
+			t.Errorf("%d of %d tasks of %d jobs had started after %v", c.fleet.Starts(), starts, jobs, took)
+		}
+	}, withSlowStore(300*time.Millisecond), withoutSteward())
+}
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/pointport/pointport/event"
@@ -21,12 +23,23 @@
 	Ended workload.Status
 }
 
+// Entries returns how many entries of a transaction the record takes: the progress,
+// or how the job ended in place of what was kept of it while it was open.
+func (r Record) Entries() int {
+	if r.Ended == "" {
+		return 1
+	}
+	return 3
+}
+
 // A Batch is what must be stored together, and what becomes possible with it.
 type Batch struct {
 	Records []Record
-	starts  []*Run
-	acks    map[*Worker]int64
-	ended   []*entry
+	// Whole says that nothing that had changed was left for the next batch.
+	Whole  bool
+	starts []*Run
+	acks   map[*Worker]int64
+	ended  []*entry
 }
 
 // Urgent reports whether something waits for the next batch to be stored.
@@ -35,29 +48,80 @@
 // Pending reports whether anything is to be stored.
 func (b *Book) Pending() bool { return len(b.dirty) > 0 }
 
-// TakeBatch returns what is to be stored now. The book goes on from there; the
-// batch must be stored before the next one is taken.
-func (b *Book) TakeBatch() Batch {
-	batch := Batch{starts: b.decided, acks: make(map[*Worker]int64)}
-	for e := range b.dirty {
+// TakeBatch returns what is to be stored now, as much as fits into so many entries
+// of a transaction. The book goes on from there; the batch must be stored before the
+// next one is taken. While the store is slow, each transaction takes some tenths of
+// a second, and what is placed and not stored holds room and does nothing.
+func (b *Book) TakeBatch(entries int) Batch {
+	batch := Batch{acks: make(map[*Worker]int64), Whole: true}
+	taken := make(map[*entry]bool)
+	b.urgent = false
+	for _, e := range b.changedJobs() {
 		record := Record{ID: e.job.ID(), Queue: e.job.Queue(), Ended: e.ended}
+		if record.Entries() > entries {
+			batch.Whole = false
+			b.urgent = b.urgent || b.dirty[e]
+			continue
+		}
+		entries -= record.Entries()
 		if e.ended == "" {
 			record.Progress = e.job.EncodeProgress()
 		} else {
 			batch.ended = append(batch.ended, e)
 		}
 		batch.Records = append(batch.Records, record)
+		taken[e] = true
+		delete(b.dirty, e)
 	}
-	for _, w := range b.workers {
-		if w.seen > w.acked {
-			batch.acks[w] = w.seen
+	b.decided = slices.DeleteFunc(b.decided, func(r *Run) bool {
+		if taken[r.entry] {
+			batch.starts = append(batch.starts, r)
+		}
+		return taken[r.entry]
+	})
+	if batch.Whole {
+		for _, w := range b.workers {
+			if w.seen > w.acked {
+				batch.acks[w] = w.seen
+			}
 		}
 	}
-	clear(b.dirty)
-	b.decided, b.urgent = nil, false
 	return batch
 }
 
+// changedJobs returns the jobs that are to be stored, those first for which
+// something waits, the most pressing before others.
+func (b *Book) changedJobs() []*entry {
+	out := make([]*entry, 0, len(b.dirty))
+	for e := range b.dirty {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if b.dirty[out[i]] != b.dirty[out[k]] {
+			return b.dirty[out[i]]
+		}
+		return out[i].standing.less(out[k].standing)
+	})
+	return out
+}
+
+// decidedMost is of how many jobs tasks may be placed and wait to be stored. One
+// transaction takes some more; the rest is for jobs that end.
+const decidedMost = 24
+
+// decidedFull reports whether tasks of so many jobs wait to be stored that those of
+// another one would only hold room meanwhile.
+func (b *Book) decidedFull() bool {
+	if len(b.decided) < decidedMost {
+		return false
+	}
+	jobs := make(map[*entry]bool)
+	for _, r := range b.decided {
+		jobs[r.entry] = true
+	}
+	return len(jobs) >= decidedMost
+}
+
 // Stored takes in that a batch is stored at now: what follows from it may be
 // done. The orders are taken by Orders.
 func (b *Book) Stored(batch Batch, now time.Time) {
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -84,7 +84,9 @@
 	learned  *estimates
 	arrivals arrivals
 	far      farRooms
-	dirty    map[*entry]struct{}
+	// dirty holds the jobs that have changed since they were last taken to be stored,
+	// and whether something waits for that.
+	dirty map[*entry]bool
 	// hungry holds the jobs that may have tasks whose turn has come, recurring
 	// those of which further occurrences are due.
 	hungry, recurring map[*entry]struct{}
@@ -117,7 +119,7 @@
 		workers: make(map[pointport.IncarnationID]*Worker),
 		over:    make(map[string]finished),
 		learned: newEstimates(),
-		dirty:   make(map[*entry]struct{}),
+		dirty:   make(map[*entry]bool),
 		hungry:  make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
 		gangs: make(map[*gang]struct{}),
 		looks: make(map[*Worker]struct{}),
@@ -254,7 +256,7 @@
 // touch marks a job as changed and to be stored.
 func (b *Book) touch(e *entry, urgent bool) {
 	b.changed(e)
-	b.dirty[e] = struct{}{}
+	b.dirty[e] = b.dirty[e] || urgent
 	b.urgent = b.urgent || urgent
 }
 
--- a/schedule/book_test.go
+++ b/schedule/book_test.go
@@ -16,6 +16,9 @@
 
 var start = time.Unix(1000, 0)
 
+// everything is more entries than any batch takes.
+const everything = 1 << 20
+
 var settings = schedule.Settings{
 	Lease: 4 * time.Second, PredecessorBound: 6 * time.Second, KeepEnded: time.Minute,
 	GangTime: 3 * time.Second, FarFactor: 2,
@@ -61,7 +64,7 @@
 // orders plans, stores what must be and returns the orders.
 func orders(b *schedule.Book, now time.Time) []schedule.Order {
 	b.Plan(now)
-	b.Stored(b.TakeBatch(), now)
+	b.Stored(b.TakeBatch(everything), now)
 	return b.TakeOrders()
 }
 
@@ -84,7 +87,7 @@
 	if got := b.TakeOrders(); len(got) != 0 {
 		t.Fatalf("%d orders before anything is stored", len(got))
 	}
-	batch := b.TakeBatch()
+	batch := b.TakeBatch(everything)
 	if len(batch.Records) != 1 {
 		t.Fatalf("records %+v, want the job's", batch.Records)
 	}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -35,6 +35,9 @@
 	p := placement{book: b, now: now, workers: workers}
 	b.scarce = scarceLabels(queue)
 	for _, e := range queue {
+		if b.decidedFull() {
+			return
+		}
 		p.placeAll(e)
 	}
 }
--- a/shard/load.go
+++ b/shard/load.go
@@ -140,7 +140,7 @@
 			answer <- outcome{known}
 			return
 		}
-		o.waiters = append(o.waiters, func() { answer <- outcome{true} })
+		o.waiters = append(o.waiters, waiter{id, func() { answer <- outcome{true} }})
 	})
 	if !sent {
 		return false, member.ErrLost
--- a/shard/log.go
+++ b/shard/log.go
@@ -11,36 +11,21 @@
 
 // This file defines how the records of a batch are written.
 
-// recordEntries is the most entries that one record takes.
-const recordEntries = 3
-
 // maxEntries is how many entries of its own a transaction may have.
 const maxEntries = pointport.MaxTxnEntries - member.HeadEntries
 
-// store stores records and removes the keys named, in as many transactions as it
-// takes.
+// maxRemovals is how many of them may remove keys of cancellations, so that there is
+// room for jobs beside them.
+const maxRemovals = maxEntries / 2
+
+// store stores records and removes the keys named, in one transaction.
 func (o *Owner) store(ctx context.Context, records []schedule.Record, remove []string) error {
-	txn := pointport.Txn{}
+	txn := pointport.Txn{Delete: remove}
 	for _, r := range records {
-		if txn.Entries()+recordEntries > maxEntries {
-			if err := o.writer.Commit(ctx, txn); err != nil {
-				return err
-			}
-			txn = pointport.Txn{}
-		}
 		if err := o.addRecord(&txn, r); err != nil {
 			return err
 		}
 	}
-	for _, key := range remove {
-		if txn.Entries() >= maxEntries {
-			if err := o.writer.Commit(ctx, txn); err != nil {
-				return err
-			}
-			txn = pointport.Txn{}
-		}
-		txn.Delete = append(txn.Delete, key)
-	}
 	if txn.Entries() == 0 {
 		return nil
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -109,11 +110,17 @@
 	turnGap  time.Duration // the least time until the next plan
 	looking  map[*schedule.Worker]*look
 	lanes    map[*schedule.Worker]*lane
-	waiters  []func() // called once the batch being decided is stored
+	waiters  []waiter
 	removals []string
 	cancel   context.CancelFunc
 }
 
+// A waiter is told once what has changed of a job is stored.
+type waiter struct {
+	job  string
+	tell func()
+}
+
 // A look is what the owner knows of its looks at one worker.
 type look struct {
 	inFlight int
@@ -281,9 +288,14 @@
 	if o.writing || !o.book.Pending() && len(o.waiters) == 0 && len(o.removals) == 0 || now.Sub(o.wrote) < o.gap() {
 		return
 	}
-	batch := o.book.TakeBatch()
-	waiters, removals := o.waiters, o.removals
-	o.waiters, o.removals = nil, nil
+	removals := o.removals[:min(len(o.removals), maxRemovals)]
+	batch := o.book.TakeBatch(maxEntries - len(removals))
+	if batch.Whole {
+		o.removals = o.removals[len(removals):]
+	} else {
+		removals = nil // what they stand for may be left for the next batch
+	}
+	waiters := o.takeWaiters(batch)
 	o.writing, o.wrote = true, now
 	go func() {
 		err := o.store(ctx, batch.Records, removals)
@@ -295,12 +307,29 @@
 			}
 			o.book.Stored(batch, now)
 			for _, w := range waiters {
-				w()
+				w.tell()
 			}
 		})
 	}()
 }
 
+// takeWaiters returns those who wait for what a batch stores.
+func (o *Owner) takeWaiters(batch schedule.Batch) []waiter {
+	stored := make(map[string]bool, len(batch.Records))
+	for _, r := range batch.Records {
+		stored[r.ID] = true
+	}
+	var taken []waiter
+	o.waiters = slices.DeleteFunc(o.waiters, func(w waiter) bool {
+		due := batch.Whole || stored[w.job]
+		if due {
+			taken = append(taken, w)
+		}
+		return due
+	})
+	return taken
+}
+
 // lost ends the owner.
 func (o *Owner) lost(err error) {
 	if errors.Is(err, context.Canceled) {
