Check an ownership as early as the store's answers ask for

Cause: an owner key was read every half second and one pool after the other. With 0.2 s an answer, two pools of one member were unproven a tenth of the time, in which nothing is placed; it is worse with the shorter lease.

Change: the next check is due when half the proof is left, or enough for two calls of the last one's length.

--- a/member/keeper.go
+++ b/member/keeper.go
@@ -48,6 +48,10 @@
 	start   func(Ownership) T
 	logger  *slog.Logger
 
+	// took is how long the last call took that checked an ownership. It belongs to the
+	// loop.
+	took time.Duration
+
 	mu      sync.Mutex
 	tenants map[string]T
 	orphans map[string]time.Time // since when a pool has had no owner
@@ -144,8 +148,7 @@
 		k.giveAway(ctx, mine)
 		return keeperTick
 	case mineToo:
-		k.check(ctx, mine)
-		return keeperTick
+		return k.check(ctx, mine)
 	case held:
 		delete(k.orphans, pool)
 		return keeperTick
@@ -178,18 +181,35 @@
 	}
 }
 
-// check makes sure that a tenant still owns its pool.
-func (k *Keeper[T]) check(ctx context.Context, t T) {
-	if t.Ownership().fresh(k.clock.Now()) {
-		return // its writes, which depend on the key, prove it
+// proofShare is the part of the time for which a call proves an ownership that must
+// be left, or another call is made.
+const proofShare = 2
+
+// check makes sure that a tenant still owns its pool, unless its writes, which depend
+// on the owner key, have shown so lately. It returns when to look again: early enough
+// for a call and a second one if the first gets no answer, however slow the store is.
+// With fixed times an ownership went unproven again and again, and its pool stood
+// still, while the store took 0.3 s for an answer.
+func (k *Keeper[T]) check(ctx context.Context, t T) time.Duration {
+	own := t.Ownership()
+	ttl := k.session.TTL()
+	reserve := max(ttl/proofShare, ttl/(2*proofShare)+2*k.took)
+	from := k.clock.Now()
+	if left := own.left(from); left > reserve {
+		return min(left-reserve, keeperTick)
 	}
-	err := k.roster.Check(ctx, t.Ownership())
+	err := k.roster.Check(ctx, own)
+	now := k.clock.Now()
+	k.took = now.Sub(from)
 	switch {
 	case errors.Is(err, ErrLost):
 		t.Stop()
+		return keeperTick
 	case err != nil:
-		event.PoolUnproven.Log(k.logger, slog.String("pool", t.Ownership().Pool), slog.Any("error", err))
+		event.PoolUnproven.Log(k.logger, slog.String("pool", own.Pool), slog.Any("error", err))
+		return rankPause
 	}
+	return min(max(own.left(now)-reserve, 0), keeperTick)
 }
 
 func (k *Keeper[T]) take(ctx context.Context, pool string) time.Duration {
--- a/member/roster.go
+++ b/member/roster.go
@@ -73,16 +73,13 @@
 	}
 }
 
-// fresh reports whether a call has seen the owner key so lately that another one
-// is not needed yet.
-func (o Ownership) fresh(now time.Time) bool {
-	return o.Proven(now.Add(o.proof.ttl - o.proof.ttl/freshShare))
+// left returns for how long the ownership is proven from now on.
+func (o Ownership) left(now time.Time) time.Duration {
+	o.proof.mu.Lock()
+	defer o.proof.mu.Unlock()
+	return o.proof.until.Sub(now)
 }
 
-// freshShare is the part of the time for which a call proves an ownership within
-// which no other call is needed.
-const freshShare = 4
-
 // ErrLost says that another member owns the pool, or nobody.
 var ErrLost = errors.New("this member does not own the pool any more")
 
