--- a/node/thinlink_test.go
+++ b/node/thinlink_test.go
@@ -129,9 +129,11 @@
 		return // the test is over
 	}
 	defer far.Close()
-	// Few bytes are on their way at a time, so that one that is given up ends soon.
-	_ = near.(*net.TCPConn).SetWriteBuffer(piece)
-	_ = far.(*net.TCPConn).SetReadBuffer(piece)
+	// Few bytes are on their way at a time, so that an answer that is given up ends
+	// soon; with fewer still, acknowledgements that wait 40 ms would be the bound.
+	const window = 32 << 10
+	_ = near.(*net.TCPConn).SetWriteBuffer(window)
+	_ = far.(*net.TCPConn).SetReadBuffer(window)
 	go func() {
 		_, _ = io.Copy(far, near) // either end may close it
 		far.Close()
