--- a/experiments/bubbletimers/bubbletimers_test.go
+++ b/experiments/bubbletimers/bubbletimers_test.go
@@ -46,7 +46,7 @@
 		fired := make(chan struct{})
 		time.AfterFunc(time.Duration(i%3), func() { close(fired) })
 		if i%2 == 0 {
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 		}
 		<-fired
 	})
