Write log lines in pieces that collectors take whole

Cause: what a process had logged in a tenth of a second went out in one write, and of each write only the first 8 KB were collected. The busiest moments, which are looked for, were cut: at most 28 lines of a tenth of a second were there.

Change: a write holds whole lines of at most 8 KB.

--- a/event/sink.go
+++ b/event/sink.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,11 @@
 	// sinkEvery is how long lines wait for others before they are written. Each
 	// write is a system call, and those are dearer than the lines.
 	sinkEvery = 100 * time.Millisecond
+	// sinkPiece is how many bytes are written at once, at most, unless one line is
+	// longer. Collectors take the first 8 KB of a write and cut the rest off: of a day
+	// with three outages of the store on 350 instances, 21,416 lines were collected in
+	// place of 39,210, and the missing ones were of its busiest tenths of a second.
+	sinkPiece = 8 << 10
 )
 
 // A Sink is a writer of log lines that never blocks its callers. It is safe for
@@ -84,15 +90,31 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, `{"level":"WARN","msg":%q,"event":%d,"lines":%d}`+"\n", LinesDropped.Name(), LinesDropped.Number(), dropped)
 	}
-	if len(lines) > 0 {
+	for rest := lines; len(rest) > 0; {
+		piece := firstPiece(rest)
 		// Nobody is left to tell if the log cannot be written.
-		_, _ = s.out.Write(lines)
+		_, _ = s.out.Write(piece)
+		rest = rest[len(piece):]
 	}
 	s.mu.Lock()
 	s.spare = lines
 	s.mu.Unlock()
 }
 
+// firstPiece returns as many whole lines as are written at once, one at least.
+func firstPiece(lines []byte) []byte {
+	if len(lines) <= sinkPiece {
+		return lines
+	}
+	if n := bytes.LastIndexByte(lines[:sinkPiece], '\n'); n >= 0 {
+		return lines[:n+1]
+	}
+	if n := bytes.IndexByte(lines, '\n'); n >= 0 {
+		return lines[:n+1]
+	}
+	return lines
+}
+
 // Close writes what waits and takes no more lines.
 func (s *Sink) Close() {
 	s.mu.Lock()
