--- a/testbed/doc.go
+++ b/testbed/doc.go
@@ -11,6 +11,7 @@
 // Fleet keeps what breaks them:
 //
 //   - No task runs twice at a time, unless copies of it may.
-//   - No task starts after an end that its owner has acknowledged as done.
+//   - No task starts after an end as done that its owner has acknowledged, or has heard
+//     of before it had the instance moved or maintained.
 //   - No start brings an incarnation over its capacity.
 package testbed
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -54,6 +54,8 @@
 	done map[string]bool
 	// ends holds, for each incarnation, the ends as done that are not acknowledged.
 	ends map[*incarnation]map[int64]string
+	// told holds since when the ends as done of tasks have been listed in an answer.
+	told map[string]time.Time
 	// listeners are told when registrations change.
 	register func(pointport.Incarnation, bool)
 	starts   map[string]int                   // by task
@@ -108,7 +110,7 @@
 		gangTime: DefaultGangTime, stopTime: DefaultStopTime, moveTime: DefaultMoveTime, upkeep: DefaultUpkeep,
 		random: rand.New(rand.NewPCG(1, 2)), address: noAddress,
 		machines: make(map[pointport.InstanceID]*Machine), lives: make(map[pointport.IncarnationID]*incarnation),
-		changed: make(chan struct{}), done: make(map[string]bool), ends: make(map[*incarnation]map[int64]string),
+		changed: make(chan struct{}), done: make(map[string]bool), ends: make(map[*incarnation]map[int64]string), told: make(map[string]time.Time),
 		register: func(pointport.Incarnation, bool) {}, starts: make(map[string]int),
 		maintain: make(map[pointport.InstanceID][]int64), away: make(map[pointport.InstanceID]int64), bounds: make(map[int64]int),
 		taken: make(map[string]bool),
@@ -364,7 +366,7 @@
 func (f *Fleet) checkStart(now time.Time, at *incarnation, r *run, o pointport.StartOrder) {
 	f.starts[r.Task]++
 	if f.done[r.Task] && !r.work.Copies {
-		f.violate(now, r.Task, "starts again after an end as done was acknowledged")
+		f.violate(now, r.Task, "starts again after its owner heard that it is done")
 	}
 	for _, before := range r.work.After {
 		if !f.done[before] && !f.listedDone(before) {
@@ -445,6 +447,29 @@
 	}
 }
 
+// noteTold notes the ends that an answer lists. The lock is held.
+func (f *Fleet) noteTold(now time.Time, ends []pointport.TaskEnd) {
+	for _, e := range ends {
+		if _, ok := f.told[e.Task]; !ok && e.Kind == pointport.EndDone {
+			f.told[e.Task] = now
+		}
+	}
+}
+
+// tellTime is how long an owner may take to hear what an answer lists.
+const tellTime = 100 * time.Millisecond
+
+// noteDestroyed notes that a life is ended by an order although it lists ends that its
+// owner has heard of: nobody else can hear of them any more, so they stand. The lock is
+// held.
+func (f *Fleet) noteDestroyed(now time.Time, life *incarnation) {
+	for _, task := range f.ends[life] {
+		if told, ok := f.told[task]; ok && now.Sub(told) >= tellTime {
+			f.done[task] = true
+		}
+	}
+}
+
 // gather lets a gang work once all of it is there. The lock is held.
 func (f *Fleet) gather(now time.Time, r *run) {
 	if r.work.Gang <= 1 {
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -236,6 +236,7 @@
 		out.Running = append(out.Running, pointport.RunningTask{TaskRun: r.TaskRun, Progress: r.progress(now)})
 	}
 	out.Ended = append(out.Ended, i.ended[:min(len(i.ended), listedEnds)]...)
+	i.fleet.noteTold(now, out.Ended)
 	return out, nil
 }
 
--- a/testbed/machines.go
+++ b/testbed/machines.go
@@ -86,6 +86,7 @@
 	}
 	if x.life != nil {
 		x.life.advance(f.clock.Now())
+		f.noteDestroyed(f.clock.Now(), x.life)
 		for _, r := range x.life.runs {
 			if r.work.Serves {
 				f.violate(f.clock.Now(), r.Task, fmt.Sprintf("is ended by an order about machine %s", id))
