Leave pools to their former owners until the roster is complete

Cause: after an outage that ends all leases, whoever reached the store first saw no other member, ranked first for everything and took all pools and the steward's post.

Change: a member whose lease is new takes at once only what was its own before; the rest after 2 s, by rank (0.5 s after its process's start). What it has taken counts for its next rank at once.

--- a/member/keeper.go
+++ b/member/keeper.go
@@ -125,6 +125,9 @@
 		select {
 		case <-t.Done():
 			event.PoolLost.Log(k.logger, slog.String("pool", pool), slog.Any("reason", t.Err()))
+			if errors.Is(t.Err(), ErrLost) {
+				k.roster.forget(t.Ownership())
+			}
 			delete(k.tenants, pool)
 		default:
 		}
@@ -156,15 +159,28 @@
 	if !k.session.Proven() {
 		return keeperTick
 	}
+	if left := k.turn(pool, now).Sub(now); left > 0 {
+		return min(left, keeperTick)
+	}
+	return k.take(ctx, pool)
+}
+
+// turn returns when this member may take a pool that has no owner: at once if it was its
+// own, since its book of the pool is the newest; else once the roster is complete, by
+// rank.
+func (k *Keeper[T]) turn(pool string, now time.Time) time.Time {
 	since, ok := k.orphans[pool]
 	if !ok {
 		since = now
 		k.orphans[pool] = now
 	}
-	if left := time.Duration(k.roster.Rank(pool))*rankPause - now.Sub(since); left > 0 {
-		return left
+	if k.roster.Former(pool) {
+		return since
 	}
-	return k.take(ctx, pool)
+	if settles := k.session.Settles(); settles.After(since) {
+		since = settles
+	}
+	return since.Add(time.Duration(k.roster.Rank(pool)) * rankPause)
 }
 
 // giveAway ends a tenant and gives its pool up to a member that has less to do.
--- a/member/roster.go
+++ b/member/roster.go
@@ -92,12 +92,22 @@
 		return err
 	}
 	if e.Revision() != own.Revision {
+		r.apply([]pointport.Entry{e})
 		return ErrLost
 	}
 	own.prove(from)
 	return nil
 }
 
+// forget takes in that an ownership is lost although no watch has told so.
+func (r *Roster) forget(own Ownership) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o, ok := r.owners[own.Pool]; ok && o.entry.Revision() == own.Revision {
+		delete(r.owners, own.Pool)
+	}
+}
+
 // own returns an ownership that was seen by a call made at from.
 func (r *Roster) own(pool string, fence pointport.Fence, revision pointport.Revision, from time.Time) Ownership {
 	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{ttl: r.session.TTL()}}
@@ -122,6 +132,7 @@
 	mu      sync.Mutex
 	members map[string]Member
 	owners  map[string]owner
+	former  map[string]string // by pool, the name of the owner that was seen last
 	known   bool
 	gave    time.Time     // when this member last gave a pool away
 	left    bool          // this member is no peer any more
@@ -133,7 +144,7 @@
 func StartRoster(ctx context.Context, kv pointport.KV, clock pointport.Clock, session *Session, self Member, logger *slog.Logger) *Roster {
 	r := &Roster{
 		kv: kv, clock: clock, session: session, self: self, logger: logger,
-		members: make(map[string]Member), owners: make(map[string]owner), changed: make(chan struct{}),
+		members: make(map[string]Member), owners: make(map[string]owner), former: make(map[string]string), changed: make(chan struct{}),
 	}
 	go Follow(ctx, kv, clock, rosterPrefix, r.reset, r.apply)
 	go func() {
@@ -232,7 +243,11 @@
 	}
 	if pool, ok := strings.CutPrefix(e.Key(), ownerPrefix); ok {
 		if e.Exists() {
+			if old, ok := r.owners[pool]; ok && old.entry.Revision() > e.Revision() {
+				return // a newer state has been seen
+			}
 			r.owners[pool] = owner{m, e}
+			r.former[pool] = m.Name
 		} else {
 			delete(r.owners, pool)
 		}
@@ -261,6 +276,14 @@
 	return o.member, ok
 }
 
+// Former reports whether this member, or its former life, was the last that is known to
+// have owned a pool.
+func (r *Roster) Former(pool string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.former[pool] == r.self.Name
+}
+
 // A Holding says who holds a pool, as far as the roster shows.
 type Holding struct {
 	Member   Member
@@ -413,6 +436,8 @@
 	var conflict *pointport.TxnConflictError
 	switch {
 	case err == nil:
+		// Seen at once, it counts before the next pool is taken.
+		r.apply([]pointport.Entry{pointport.NewEntry(key, value, revision).WithCreated(revision).WithLease(lease)})
 		return r.own(pool, pointport.Fence(revision), revision, from), nil
 	case errors.As(err, &conflict):
 		for _, e := range conflict.Entries {
--- a/member/session.go
+++ b/member/session.go
@@ -49,7 +49,10 @@
 
 	mu     sync.Mutex
 	lease  pointport.LeaseID
-	proven time.Time // until when the lease has surely not ended
+	// granted is when the lease was granted, first whether it is this process's first.
+	granted time.Time
+	first   bool
+	proven  time.Time // until when the lease has surely not ended
 	// renewed is closed and replaced when a new lease was granted.
 	renewed chan struct{}
 	cut     bool
@@ -117,7 +120,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease, s.proven = lease, from.Add(s.ttl)
+	s.first = s.granted.IsZero()
+	s.lease, s.granted, s.proven = lease, s.clock.Now(), from.Add(s.ttl)
 	close(s.renewed)
 	s.renewed = make(chan struct{})
 	return nil
@@ -146,6 +150,29 @@
 	return s.clock.Now().Before(s.proven)
 }
 
+const (
+	// returnTime is within which time of the store's return whoever lives is back in the
+	// roster; the users say so of instances, whose entries lapse in the same way. One
+	// that is missing then is gone.
+	returnTime = 2 * time.Second
+	// startTime is within which time of each other members that start together are in
+	// the roster. They start within 0.3 s and need 0.1 s for their first calls.
+	startTime = 500 * time.Millisecond
+)
+
+// Settles returns when the roster can be taken for complete. A member whose lease is new
+// may be the first of all whose leases have ended at once: of 350 instances, one on a
+// fifth of a core took all within 0.4 s, and days with three outages were worth 0.07
+// where members that came back together made 0.21.
+func (s *Session) Settles() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.first {
+		return s.granted.Add(startTime)
+	}
+	return s.granted.Add(returnTime)
+}
+
 // TTL returns how long the lease lasts unrenewed.
 func (s *Session) TTL() time.Duration { return s.ttl }
 
