--- a/member/session.go
+++ b/member/session.go
@@ -47,8 +47,8 @@
 	logger *slog.Logger
 	ttl    time.Duration
 
-	mu     sync.Mutex
-	lease  pointport.LeaseID
+	mu    sync.Mutex
+	lease pointport.LeaseID
 	// granted is when the lease was granted, first whether it is this process's first.
 	granted time.Time
 	first   bool
