--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -40,6 +40,8 @@
 	starts []*Run
 	acks   map[*Worker]int64
 	ended  []*entry
+	// endedOn holds the workers on which the ends came that the batch stores.
+	endedOn []*Worker
 }
 
 // Entries returns how many entries the batch takes.
@@ -57,9 +59,6 @@
 // Pending reports whether anything is to be stored.
 func (b *Book) Pending() bool { return len(b.dirty) > 0 }
 
-// unstored reports whether anything that the book knows is not known to be stored.
-func (b *Book) unstored() bool { return b.storing || b.Pending() }
-
 // TakeBatch returns what is to be stored now, as much as fits into so many entries
 // of a transaction. The book goes on from there; the batch must be stored before the
 // next one is taken. While the store is slow, each transaction takes some tenths of
@@ -67,7 +66,7 @@
 func (b *Book) TakeBatch(entries int) Batch {
 	batch := Batch{acks: make(map[*Worker]int64), Whole: true}
 	taken := make(map[*entry]bool)
-	b.urgent, b.storing = false, true
+	b.urgent = false
 	b.limited = entries <= limitedEntries
 	for _, e := range b.changedJobs() {
 		record := Record{ID: e.job.ID(), Queue: e.job.Queue(), Ended: e.ended}
@@ -83,6 +82,8 @@
 			batch.ended = append(batch.ended, e)
 		}
 		batch.Records = append(batch.Records, record)
+		batch.endedOn = append(batch.endedOn, e.endedOn...)
+		e.endedOn = nil
 		taken[e] = true
 		delete(b.dirty, e)
 	}
@@ -142,7 +143,9 @@
 // Stored takes in that a batch is stored at now: what follows from it may be
 // done. The orders are taken by Orders.
 func (b *Book) Stored(batch Batch, now time.Time) {
-	b.storing = false
+	for _, w := range batch.endedOn {
+		w.unstored--
+	}
 	for w, n := range batch.acks {
 		w.acked = max(w.acked, n)
 	}
--- a/schedule/batch_test.go
+++ b/schedule/batch_test.go
@@ -14,8 +14,9 @@
 // This file checks what may be done once only a part of what has changed is stored.
 
 // Whatever room transactions have, a start is sent only once the batch with its job is
-// stored, an end is acknowledged only once nothing that followed from it is left, and
-// all tasks start in the end.
+// stored, an end is acknowledged only once nothing that followed from it is left, an
+// instance counts as one with unstored ends exactly until their jobs are stored, and all
+// tasks start in the end.
 func TestPartialBatches(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBook()
@@ -30,6 +31,7 @@
 		}
 		stored := make(map[string]bool)
 		ended, number := make(map[string]bool), int64(0)
+		owed := make(map[pointport.IncarnationID]map[string]bool) // jobs with unstored ends
 		for round := 0; round < 400 && len(ended) < jobs; round++ {
 			b.Plan(start)
 			room := rapid.IntRange(3, 12).Draw(t, "entries")
@@ -49,10 +51,18 @@
 			}
 			for _, r := range batch.Records {
 				stored[r.ID] = true
+				for _, jobs := range owed {
+					delete(jobs, r.ID)
+				}
 				if r.Ended != "" {
 					ended[r.ID] = true
 				}
 			}
+			for _, l := range b.Survey(start, schedule.SurveyRequest{}).Instances {
+				if l.Unstored != (len(owed[l.Incarnation]) > 0) {
+					t.Fatalf("%s has unstored ends: %t, and %d jobs with some", l.Incarnation, l.Unstored, len(owed[l.Incarnation]))
+				}
+			}
 			for _, o := range b.TakeOrders() {
 				id, _, err := workload.ParseTaskName(o.TaskRun.Task)
 				if err != nil {
@@ -62,6 +72,11 @@
 					t.Fatalf("%s starts before its job is stored", o.TaskRun.Task)
 				}
 				number++
+				at := o.Worker.Incarnation().ID()
+				if owed[at] == nil {
+					owed[at] = make(map[string]bool)
+				}
+				owed[at][id] = true
 				b.Answered(o, start, 1, nil)
 				b.Report(o.Worker, start, start, pointport.Report{Clock: 1, Ended: []pointport.TaskEnd{
 					{Number: number, TaskRun: o.TaskRun, Kind: pointport.EndDone},
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -56,6 +56,9 @@
 	starved, preempted time.Time
 	// toldWait is when it was last logged why the job finds no room.
 	toldWait time.Time
+	// endedOn holds the workers on which tasks of the job have ended since it was last
+	// taken to be stored, one for each end.
+	endedOn []*Worker
 	// begun says that the job is known to have begun, by this owner's doing or
 	// before it.
 	begun bool
@@ -90,9 +93,8 @@
 	// those of which further occurrences are due.
 	hungry, recurring map[*entry]struct{}
 	decided           []*Run // to be stored, then sent
-	// limited says that the last batch was short of room, storing that it is not known
-	// to be stored yet.
-	limited, storing bool
+	// limited says that the last batch was short of room.
+	limited bool
 	// sends are orders that need nothing stored: stops and repeated starts.
 	sends []Order
 	// urgent says that something waits for the next batch to be stored.
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -170,7 +170,7 @@
 	return InstanceLoad{
 		Instance: w.inc.Instance(), Incarnation: w.inc.ID(), Runs: len(w.runs), Serving: w.serving,
 		Closed: w.closed(now), Silent: w.silent || !w.life.known(), Avoided: w.health.avoided(now),
-		Leaving: w.inc.Draining(), Known: now.Sub(w.since), Unstored: w.seen > w.acked && b.unstored(),
+		Leaving: w.inc.Draining(), Known: now.Sub(w.since), Unstored: w.unstored > 0,
 	}
 }
 
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -38,6 +38,8 @@
 	// seen is the highest end number taken in, acked the highest whose
 	// consequences are stored.
 	seen, acked int64
+	// unstored counts the ends there whose consequences are not stored.
+	unstored int
 	// fullUntil is until when nothing is placed there, because the instance
 	// refused a start.
 	fullUntil time.Time
