--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -195,7 +195,7 @@
 		}
 		m.load = loads[id]
 		switch {
-		case !m.load.Empty() || m.load.Incarnation == "":
+		case m.load.Runs > 0 || m.load.Incarnation == "":
 			m.idle = time.Time{}
 		case m.idle.IsZero():
 			m.idle = now
