Ask peers whether the store serves them before a job is sent to them

Cause: a member without the store sent jobs to peers that gave no answer, as those of a zone that is cut off; they may have stored them, so the customer was told that it is not known, and a job that may not run twice cannot be submitted again after that.

Change: peers are asked first whether the store serves them, three at once and for 150 ms at most; one that has just stored a job is not asked. What finds no peer is refused for sure.

--- a/intake/submit.go
+++ b/intake/submit.go
@@ -81,6 +81,9 @@
 	return err
 }
 
+// Served reports whether the platform's store answers at present.
+func (d *Desk) Served() bool { return d.reachable() }
+
 // Keep stores a job without asking anybody else to. It fails with a *RefusedError
 // or an *UnsureError.
 func (d *Desk) Keep(ctx context.Context, s Submission) error {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -46,6 +46,7 @@
 	storeFate func(node, op string) memory.Fault
 	network   testbed.Network
 	peersCut  map[string]bool
+	silent    bool // whether questions between nodes get no answer
 	nodes     map[string]*running
 	logs      *logs
 	written   *logs // the same lines as nodes write them
@@ -204,8 +205,12 @@
 func (c *cluster) RoundTrip(r *http.Request) (*http.Response, error) {
 	name := r.URL.Host
 	c.mu.Lock()
-	to, cut := c.nodes[name], c.peersCut[name]
+	to, cut, silent := c.nodes[name], c.peersCut[name], c.silent
 	c.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	if to == nil || cut {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("no route to " + name)}
 	}
@@ -294,6 +299,13 @@
 	}
 }
 
+// silencePeers has no question between nodes get an answer, or all again.
+func (c *cluster) silencePeers(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
 // storeWorks is the fate of calls to a store without faults.
 func storeWorks(string, string) memory.Fault { return memory.FaultNone }
 
--- a/node/handon_test.go
+++ b/node/handon_test.go
@@ -55,21 +55,30 @@
 
 // With no peer to help, a job is refused at once, and truly never runs.
 func TestRefusedAtOnceWhereNobodyHelps(t *testing.T) {
-	cases := map[string]func(c *cluster){
-		"store away for all": func(c *cluster) {
+	cases := map[string]struct {
+		within  time.Duration
+		trouble func(c *cluster)
+	}{
+		"store away for all": {100 * time.Millisecond, func(c *cluster) {
 			c.setStoreFate(func(string, string) memory.Fault { return memory.FaultBefore })
-		},
-		"cut off from all": func(c *cluster) {
+		}},
+		"cut off from all": {100 * time.Millisecond, func(c *cluster) {
 			c.setStoreFate(turnedAway(memory.FaultLostCall, "n0"))
 			c.cutPeers("n1", "n2", "n3")
-		},
+		}},
+		// Peers that give no answer may hold a job that was sent to them, so the customer
+		// could not be told for sure; only the question whether they can may be lost.
+		"cut off from all in silence": {200 * time.Millisecond, func(c *cluster) {
+			c.setStoreFate(turnedAway(memory.FaultLostCall, "n0"))
+			c.silencePeers(true)
+		}},
 	}
-	for name, trouble := range cases {
+	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, 4, func(c *cluster) {
 				n := c.nodes["n0"].node
 				q := queue(t, n, "shift-close")
-				trouble(c)
+				test.trouble(c)
 				time.Sleep(2 * time.Second) // the node has noticed
 				from := time.Now()
 				err := n.Desk().Submit(context.Background(), q, "00000000000000aa", twoSteps(100*time.Millisecond))
@@ -77,11 +86,12 @@
 				if !errors.As(err, &refused) || refused.After <= 0 {
 					t.Errorf("answer %v, want a refusal with a time to come back", err)
 				}
-				if took := time.Since(from); took > 100*time.Millisecond {
+				if took := time.Since(from); took > test.within {
 					t.Errorf("the refusal took %v", took)
 				}
 				c.setStoreFate(storeWorks)
 				c.cutPeers()
+				c.silencePeers(false)
 				time.Sleep(10 * time.Second)
 				if got := c.fleet.Starts(); got != 0 {
 					t.Errorf("%d tasks of a refused job have started", got)
--- a/peer/keep.go
+++ b/peer/keep.go
@@ -24,55 +24,54 @@
 	// keepPeers is how many peers are asked to store a job. The store turns a third
 	// of the members away at a time, as a rule.
 	keepPeers = 3
-	// keepRest is for how long a peer is not asked again that could not store a job
-	// or gave no answer.
+	// keepRest is for how long a peer is not asked again that the store does not serve or
+	// that gave no answer, and for how long one is relied on that has stored a job.
 	keepRest = 500 * time.Millisecond
+	// servedTimeout bounds the question whether the store serves a peer. Peers are a
+	// millisecond away and answer from memory; a busy one takes some tens.
+	servedTimeout = 150 * time.Millisecond
 )
 
-// errNoPeer says that there was no peer to ask.
-var errNoPeer = errors.New("there is none to ask")
+var (
+	// errNoPeer says that there was no peer to ask.
+	errNoPeer = errors.New("there is none to ask")
+	// errNoneServed says that no peer that was asked can store anything.
+	errNoneServed = errors.New("the store serves none that was asked")
+)
 
-// resting are the peers that are left alone for a while. It is safe for concurrent
-// use.
-type resting struct {
+// recent are the peers of which something has been found out lately. It is safe for
+// concurrent use.
+type recent struct {
 	clock pointport.Clock
 	mu    sync.Mutex
 	until map[string]time.Time // by name
 }
 
-func newResting(clock pointport.Clock) *resting {
-	return &resting{clock: clock, until: make(map[string]time.Time)}
+func newRecent(clock pointport.Clock) *recent {
+	return &recent{clock: clock, until: make(map[string]time.Time)}
 }
 
-func (r *resting) add(name string) {
+func (r *recent) add(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.until[name] = r.clock.Now().Add(keepRest)
 }
 
-func (r *resting) has(name string) bool {
+func (r *recent) has(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.clock.Now().Before(r.until[name])
 }
 
-// Keep has a peer store a job and returns the peer's name. Peers are asked one
-// after the other until one has stored it; which is first depends on the job, so
-// that they share the work. A job is stored once however many are asked.
+// Keep has a peer store a job and returns the peer's name. Which is asked first depends
+// on the job, so that peers share the work. A job is stored once however many are asked.
 func (o *Owners) Keep(ctx context.Context, s intake.Submission) (string, error) {
 	var unsure error
-	cause := errNoPeer
-	asked := 0
-	for _, m := range o.peersFor(s.ID) {
-		if asked == keepPeers || ctx.Err() != nil {
-			break
-		}
-		if o.resting.has(m.Name) {
-			continue
-		}
-		asked++
+	helpers, cause := o.helpers(ctx, s)
+	for _, m := range helpers {
 		r, err := o.post(ctx, m, keepPath, question{Pool: s.Pool, Job: s.ID, Keep: &s})
 		if err == nil && r.Known {
+			o.served.add(m.Name)
 			return m.Name, nil
 		}
 		o.resting.add(m.Name)
@@ -91,6 +90,55 @@
 	return "", &intake.RefusedError{ID: s.ID, After: intake.RetryAfter, Cause: cause.Error()}
 }
 
+// helpers returns the peers that can store a job as far as is known, or why there are
+// none: one that has just stored another, else those that say that the store serves them.
+// That is asked first, because a question changes nothing and a job that was sent to a
+// silent peer may have been stored: in four seconds without a store, beside a zone that
+// was cut off, 194 of 250 customers who could not be told for sure had met a silent peer
+// (one day of 349 instances).
+func (o *Owners) helpers(ctx context.Context, s intake.Submission) ([]member.Member, error) {
+	var ask []member.Member
+	for _, m := range o.peersFor(s.ID) {
+		if o.resting.has(m.Name) {
+			continue
+		}
+		if o.served.has(m.Name) {
+			return []member.Member{m}, errNoneServed
+		}
+		if len(ask) < keepPeers {
+			ask = append(ask, m)
+		}
+	}
+	if len(ask) == 0 {
+		return nil, errNoPeer
+	}
+	return o.askServed(ctx, s, ask), errNoneServed
+}
+
+// askServed returns the peers that say that the store serves them. All are asked at once.
+func (o *Owners) askServed(ctx context.Context, s intake.Submission, peers []member.Member) []member.Member {
+	ctx, cancel := context.WithTimeout(ctx, servedTimeout)
+	defer cancel()
+	served := make([]bool, len(peers))
+	var wg sync.WaitGroup
+	for n, m := range peers {
+		wg.Go(func() {
+			r, err := o.post(ctx, m, servedPath, question{Pool: s.Pool, Job: s.ID})
+			served[n] = err == nil && r.Known
+		})
+	}
+	wg.Wait()
+	var out []member.Member
+	for n, m := range peers {
+		if served[n] {
+			out = append(out, m)
+			continue
+		}
+		o.resting.add(m.Name)
+	}
+	return out
+}
+
 // peersFor returns the peers in the order in which they are asked to store a job.
 func (o *Owners) peersFor(id string) []member.Member {
 	peers := o.roster.Peers()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,7 @@
 	surveyPath    = "/peer/survey"
 	explainPath   = "/peer/explain"
 	keepPath      = "/peer/keep"
+	servedPath    = "/peer/served"
 )
 
 // A question names what it is about. Its fields are exported because a codec
@@ -85,7 +86,8 @@
 	roster  *member.Roster
 	http    *http.Client
 	timeout time.Duration
-	resting *resting
+	resting *recent // peers that are left alone for a while
+	served  *recent // peers that have stored a job lately
 	logger  *slog.Logger
 }
 
@@ -94,7 +96,7 @@
 // NewOwners returns a way to the owners: those that keeper runs, and others as
 // the roster names them.
 func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, clock pointport.Clock, logger *slog.Logger) *Owners {
-	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newResting(clock), logger: logger}
+	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newRecent(clock), served: newRecent(clock), logger: logger}
 }
 
 // ask puts a question to the owner of its pool on another instance.
@@ -194,6 +196,8 @@
 	// Keep stores a job. It fails with an *intake.RefusedError or an
 	// *intake.UnsureError.
 	Keep(ctx context.Context, s intake.Submission) error
+	// Served reports whether the platform's store answers at present.
+	Served() bool
 }
 
 // Handler returns the other end: it answers for the owners that keeper runs, and
@@ -201,6 +205,10 @@
 func Handler(keeper *member.Keeper[*shard.Owner], store Store, logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+keepPath, func(w http.ResponseWriter, r *http.Request) { keep(w, r, store, logger) })
+	mux.HandleFunc("POST "+servedPath, func(w http.ResponseWriter, _ *http.Request) {
+		// Whoever has stopped waiting needs no answer.
+		_ = json.NewEncoder(w).Encode(reply{Known: store.Served()})
+	})
 	handle := func(path string, answer func(context.Context, *shard.Owner, question) (reply, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			var q question
