--- a/member/watch.go
+++ b/member/watch.go
@@ -71,6 +71,7 @@
 // never returns a channel that is not closed.
 func never() <-chan struct{} { return nil }
 
+// run follows the keys until ctx ends, and begins anew when the store is back.
 func (f *Follower) run(ctx context.Context) {
 	read := time.Time{}
 	if f.at > 0 {
@@ -92,7 +93,8 @@
 	}
 }
 
-// follow follows the keys, which were read at read, until ctx ends.
+// follow follows the keys until ctx ends; read is when all were read last, zero if they
+// have to be.
 func (f *Follower) follow(ctx context.Context, read time.Time) {
 	retry := retryFirst
 	for ctx.Err() == nil {
--- a/node/follow.go
+++ b/node/follow.go
@@ -98,7 +98,7 @@
 		event.ConfigInvalid.Log(c.logger, slog.Any("error", err))
 		return
 	}
-	if next.Version <= c.version() {
+	if old := c.Catalog(); old != nil && next.Version <= old.Version {
 		return
 	}
 	c.current.Store(next)
