Bound garbage in bytes, and take nothing in near the limit of memory

Change: internal/heap follows what is in use and lets 16 MB of garbage lie about; events 109 and 110, gauges of memory and its limit; near the limit a job is kept by a peer that has room, or refused at once with a time to come back.

--- a/cli/join.go
+++ b/cli/join.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/pointport/pointport"
@@ -15,6 +14,7 @@
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
+	"github.com/pointport/pointport/internal/heap"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/meter"
 	"github.com/pointport/pointport/node"
@@ -28,16 +28,6 @@
 // This file defines the subcommand that runs an entry instance on the users'
 // platform.
 
-const (
-	// memoryShare is the share of a process's memory that the runtime may fill
-	// before it collects garbage harder; the rest is for stacks and buffers.
-	memoryShare = 0.6
-	// garbagePercent trades memory, which is cheap on entry instances, for
-	// processor time, which is dear: a live heap of a few megabytes would be
-	// collected many times a second otherwise.
-	garbagePercent = 400
-)
-
 // Join returns the subcommand that runs an entry instance on the users'
 // platform.
 func Join() *Command {
@@ -127,10 +117,7 @@
 	figures := meter.New(clock.System{})
 	limit := event.NewLimit(slog.NewJSONHandler(sink, nil), clock.System{})
 	logger := slog.New(figures.Events(limit)).With(slog.String("node", s.Name))
-	debug.SetGCPercent(garbagePercent)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	}
+	guard := heap.Start(ctx, clock.System{}, s.MemoryBytes, logger)
 	services := node.Services{
 		KV:       figures.KV(platform.NewStore(s.Store, platform.WithReceived(figures.FromStore))),
 		Executor: figures.Executor(platform.NewExecutor()),
@@ -165,13 +152,15 @@
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace,
 		GangTime: s.GangTime, FarFactor: s.FarFactor, HolderTime: s.HolderTime,
-		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime},
+		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime}, Full: guard.Near,
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
 		return nil, err
 	}
 	gauges(figures, n, limit, sink)
+	figures.Gauge("pointport_memory_bytes", "Memory that the process has taken from the system.", func() float64 { return float64(guard.Used()) })
+	figures.Gauge("pointport_memory_limit_bytes", "Memory that the process may take, by the settings.", func() float64 { return float64(s.MemoryBytes) })
 	return n, nil
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -15,6 +15,8 @@
 	LinesDropped = define(107, "log lines dropped", slog.LevelWarn, "More lines came than could be written; lines says how many are missing.")
 	ReloadFailed = define(106, "settings kept", slog.LevelError, "The settings file cannot be used; the settings stay as they were.")
 	ReadyChanged = define(108, "readiness changed", slog.LevelInfo, "The process tells the balancer from now on whether it takes connections, as ready says; version, store and leaving say why.")
+	MemoryNear   = define(109, "near its memory", slog.LevelWarn, "The process takes four fifths of its memory or more, in bytes; it takes no new jobs while a peer can. live says how much of that is in use.")
+	MemoryClear  = define(110, "memory clear", slog.LevelInfo, "The process is no longer near the limit of its memory and takes jobs again.")
 	Failed       = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
 )
 
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -59,12 +59,25 @@
 	clock  pointport.Clock
 	// reachable reports whether the store answers at present.
 	reachable func() bool
-	logger    *slog.Logger
+	// full reports whether this member can hold no more.
+	full   func() bool
+	logger *slog.Logger
 }
 
+// A DeskOption changes a Desk.
+type DeskOption func(*Desk)
+
+// WithFull sets what reports that this member can hold no more. A job is then kept by a
+// peer, or refused at once.
+func WithFull(full func() bool) DeskOption { return func(d *Desk) { d.full = full } }
+
 // NewDesk returns a desk.
-func NewDesk(kv pointport.KV, owners Owners, clock pointport.Clock, reachable func() bool, logger *slog.Logger) *Desk {
-	return &Desk{kv: kv, owners: owners, clock: clock, reachable: reachable, logger: logger}
+func NewDesk(kv pointport.KV, owners Owners, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...DeskOption) *Desk {
+	d := &Desk{kv: kv, owners: owners, clock: clock, reachable: reachable, full: func() bool { return false }, logger: logger}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
 // A RefusedError says that a job was not taken and never runs by this attempt.
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -81,8 +81,9 @@
 	return err
 }
 
-// Served reports whether the platform's store answers at present.
-func (d *Desk) Served() bool { return d.reachable() }
+// Served reports whether this member can store a job at present: the platform's store
+// answers, and there is memory for it.
+func (d *Desk) Served() bool { return d.reachable() && !d.full() }
 
 // Keep stores a job without asking anybody else to. It fails with a *RefusedError
 // or an *UnsureError.
@@ -90,6 +91,9 @@
 	if !d.reachable() {
 		return &RefusedError{ID: s.ID, After: RetryAfter, Cause: "the store gives no answer"}
 	}
+	if d.full() {
+		return &RefusedError{ID: s.ID, After: RetryAfter, Cause: "the entry instance is short of memory"}
+	}
 	now := d.clock.Now()
 	txn, err := s.txn()
 	if err != nil {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -52,6 +52,8 @@
 	written   *logs // the same lines as nodes write them
 	// still says that nobody moves or maintains instances.
 	still bool
+	// full names the nodes that are near the limit of their memory; guarded by mu.
+	full map[string]bool
 	// latency is how long each call to the store takes.
 	latency time.Duration
 }
@@ -114,7 +116,7 @@
 	c := &cluster{
 		t: t, store: memory.New(clock.System{}), network: testbed.Reliable,
 		storeFate: func(string, string) memory.Fault { return memory.FaultNone },
-		peersCut:  make(map[string]bool), nodes: make(map[string]*running), logs: &logs{}, written: &logs{}, latency: time.Millisecond,
+		peersCut:  make(map[string]bool), full: make(map[string]bool), nodes: make(map[string]*running), logs: &logs{}, written: &logs{}, latency: time.Millisecond,
 	}
 	c.kv = c.store.KV()
 	fleetOptions := []testbed.Option{testbed.WithSpare(spareName), testbed.WithRegister(c.register)}
@@ -262,6 +264,11 @@
 		TaskLease: 4 * time.Second, Grace: 6 * time.Second, HolderTime: holderTime, PeerName: name,
 		GangTime: testbed.DefaultGangTime, FarFactor: 2,
 		Capacity: capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep},
+		Full: func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.full[name]
+		},
 	}, slog.New(slog.NewMultiHandler(slog.NewTextHandler(c.logs, nil), slog.NewJSONHandler(c.written, nil))).With(slog.String("node", name)))
 	if err != nil {
 		c.t.Fatal(err)
@@ -299,6 +306,16 @@
 	}
 }
 
+// fill has the nodes named, and no other, be near the limit of their memory.
+func (c *cluster) fill(names ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.full)
+	for _, name := range names {
+		c.full[name] = true
+	}
+}
+
 // silencePeers has no question between nodes get an answer, or all again.
 func (c *cluster) silencePeers(silent bool) {
 	c.mu.Lock()
--- a/node/handon_test.go
+++ b/node/handon_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// A node that is near the limit of its memory has peers keep the jobs that come to it, and
+// refuses them at once, with a time to come back, where all are.
+func TestFullNodeHandsJobsOn(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		c.fill("n0", "n1")
+		const kept, refused = "00000000000000a1", "00000000000000a2"
+		submit(t, n, q, kept, twoSteps(100*time.Millisecond))
+		c.eventually(n, q, kept, workload.Completed, 10*time.Second)
+		c.fill("n0", "n1", "n2")
+		time.Sleep(time.Second) // until the peer that has stored a job is asked again
+		from := time.Now()
+		err := n.Desk().Submit(context.Background(), q, refused, twoSteps(100*time.Millisecond))
+		var no *intake.RefusedError
+		if !errors.As(err, &no) || no.After <= 0 || time.Since(from) > 300*time.Millisecond {
+			t.Errorf("%v after %v, want a refusal at once with a time to come back", err, time.Since(from))
+		}
+		c.fill()
+		submit(t, n, q, refused, twoSteps(100*time.Millisecond))
+		c.eventually(n, q, refused, workload.Completed, 10*time.Second)
+	})
+}
+
 // With no peer to help, a job is refused at once, and truly never runs.
 func TestRefusedAtOnceWhereNobodyHelps(t *testing.T) {
 	cases := map[string]struct {
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,9 @@
 	// HolderTime must lie between the orders of two holders of an instance.
 	HolderTime time.Duration
 	Capacity   capacity.Settings
+	// Full reports whether the node can hold no more, so that new jobs are better kept
+	// by a peer; nil if it always can.
+	Full func() bool
 }
 
 // A Node is a running entry instance.
@@ -133,7 +136,7 @@
 	if s.Machines != nil {
 		n.startSteward(ctx, n.owners)
 	}
-	n.desk = intake.NewDesk(s.KV, n.owners, s.Clock, n.session.Proven, logger)
+	n.desk = intake.NewDesk(s.KV, n.owners, s.Clock, n.session.Proven, logger, n.deskOptions()...)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -141,6 +144,14 @@
 	return n, nil
 }
 
+// deskOptions returns what varies of the desk.
+func (n *Node) deskOptions() []intake.DeskOption {
+	if n.params.Full == nil {
+		return nil
+	}
+	return []intake.DeskOption{intake.WithFull(n.params.Full)}
+}
+
 // startSteward lets the node be the one that moves and maintains instances.
 func (n *Node) startSteward(ctx context.Context, pools steward.Pools) {
 	s := n.services
