--- a/intake/refusals_test.go
+++ b/intake/refusals_test.go
@@ -9,8 +9,8 @@
 // A still clock shows the time that it is set to.
 type stillClock struct{ now time.Time }
 
-func (c *stillClock) Now() time.Time                       { return c.now }
-func (c *stillClock) After(time.Duration) <-chan time.Time { return make(chan time.Time) }
+func (c *stillClock) Now() time.Time                         { return c.now }
+func (c *stillClock) After(d time.Duration) <-chan time.Time { return make(chan time.Time) }
 
 func TestFirstAskingCounts(t *testing.T) {
 	c := &stillClock{now: time.Unix(100, 0)}
