Revert remembering since when refused customers have asked

What binds there is that the pool whose turn comes during the outage gets its instances 2 s after it, so neither old nor new customers can be served in time.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -102,7 +102,7 @@
 	WorkerExpired  = define(513, "instance expired", slog.LevelWarn, "An instance was silent for so long that everything there has ended; its tasks wait again.")
 	WorkerEnded    = define(514, "incarnation ended", slog.LevelInfo, "An incarnation of an instance is over; what ran there has died with it.")
 	WorkerDraining = define(515, "instance draining", slog.LevelInfo, "An instance is about to leave; it gets no new tasks, and serving tasks move off.")
-	JobTaken       = define(516, "job taken", slog.LevelInfo, "The owner of a pool has taken in a job; asked says for how long its customer has asked for it, and inherited whether an earlier owner had begun it.",
+	JobTaken       = define(516, "job taken", slog.LevelInfo, "The owner of a pool has taken in a job; inherited says whether an earlier owner had begun it.",
 		splits("inherited", "true", "false"), times("after"))
 	JobUnreadable = define(517, "job unreadable", slog.LevelError, "A stored job cannot be read; it is left alone.")
 	JobAccepted   = define(518, "job accepted", slog.LevelInfo, "A job is stored and its customer is told so; known says that it was stored before.",
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -48,9 +48,6 @@
 	// Keep has a peer keep a job and returns the peer's name. It fails with a
 	// *RefusedError or an *UnsureError.
 	Keep(ctx context.Context, s Submission) (peer string, err error)
-	// Refused tells a pool's owner that a job was refused whose customer has asked for
-	// it for so long. It does not wait.
-	Refused(pool, id string, asked time.Duration)
 	// Waiting asks a pool's owner how many jobs of a queue have not begun.
 	Waiting(ctx context.Context, pool, queue string) (int, error)
 }
@@ -63,9 +60,8 @@
 	// reachable reports whether the store answers at present.
 	reachable func() bool
 	// full reports whether this member can hold no more.
-	full     func() bool
-	refusals *Refusals
-	logger   *slog.Logger
+	full   func() bool
+	logger *slog.Logger
 }
 
 // A DeskOption changes a Desk.
@@ -75,12 +71,9 @@
 // peer, or refused at once.
 func WithFull(full func() bool) DeskOption { return func(d *Desk) { d.full = full } }
 
-// WithRefusals sets where the jobs are remembered that were refused, here or by peers.
-func WithRefusals(r *Refusals) DeskOption { return func(d *Desk) { d.refusals = r } }
-
 // NewDesk returns a desk.
 func NewDesk(kv pointport.KV, owners Owners, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...DeskOption) *Desk {
-	d := &Desk{kv: kv, owners: owners, clock: clock, reachable: reachable, full: func() bool { return false }, refusals: NewRefusals(clock), logger: logger}
+	d := &Desk{kv: kv, owners: owners, clock: clock, reachable: reachable, full: func() bool { return false }, logger: logger}
 	for _, o := range options {
 		o(d)
 	}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
@@ -42,12 +41,11 @@
 // Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError or an
 // *UnsureError.
 func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
-	asked := d.clock.Now()
 	if err := spec.Check(); err != nil {
 		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
 	}
-	accepted, err := workload.New(id, q.Name, q.Policy, spec, asked).EncodeAccepted()
+	accepted, err := workload.New(id, q.Name, q.Policy, spec, d.clock.Now()).EncodeAccepted()
 	if err != nil {
 		return err
 	}
@@ -59,20 +57,12 @@
 		err = d.handOn(ctx, s, err)
 	}
 	if err != nil {
-		d.NoteRefused(id, d.clock.Now().Sub(asked))
-		d.owners.Refused(q.Pool, id, d.clock.Now().Sub(asked))
 		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name),
 			slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
 	}
 	return err
 }
 
-// NoteRefused remembers that a job was refused, here or by a peer, whose customer had
-// asked for it for so long.
-func (d *Desk) NoteRefused(id string, asked time.Duration) {
-	d.refusals.Note(id, d.clock.Now().Add(-asked))
-}
-
 // handOn has a peer keep a job that this member could not. cause is why; if it
 // leaves open whether the job is kept, only an acceptance makes that sure.
 func (d *Desk) handOn(ctx context.Context, s Submission, cause error) error {
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,6 @@
 	stewards *member.Keeper[*steward.Steward]
 	desk     *intake.Desk
 	owners   *peer.Owners
-	refusals *intake.Refusals
 	servers  []*http.Server
 	clients  *http.Server
 	leaving  atomic.Bool
@@ -122,7 +121,7 @@
 // Start starts a node whose background work ends with ctx.
 func Start(ctx context.Context, s Services, p Parameters, logger *slog.Logger) (*Node, error) {
 	s.KV = hedge.New(s.KV, s.Clock)
-	n := &Node{services: s, params: p, refusals: intake.NewRefusals(s.Clock), logger: logger}
+	n := &Node{services: s, params: p, logger: logger}
 	n.session = member.StartSession(ctx, s.KV, s.Clock, p.LeaseTTL, logger)
 	self := member.Member{Name: p.Name, Peer: cmp.Or(p.PeerName, p.Addresses.Peers), Zone: p.Zone, Strength: p.Strength}
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
@@ -147,11 +146,10 @@
 
 // deskOptions returns what varies of the desk.
 func (n *Node) deskOptions() []intake.DeskOption {
-	options := []intake.DeskOption{intake.WithRefusals(n.refusals)}
-	if n.params.Full != nil {
-		options = append(options, intake.WithFull(n.params.Full))
+	if n.params.Full == nil {
+		return nil
 	}
-	return options
+	return []intake.DeskOption{intake.WithFull(n.params.Full)}
 }
 
 // startSteward lets the node be the one that moves and maintains instances.
@@ -172,7 +170,6 @@
 	s := n.services
 	services := shard.Services{
 		KV: s.KV, Executor: s.Executor, Advisor: s.Advisor, Clock: s.Clock, Session: n.session, Fleet: n.fleet,
-		Asked: n.refusals.Asked,
 	}
 	return func(own member.Ownership) *shard.Owner {
 		return shard.Start(ctx, services, own, n.logger, shard.WithLease(n.params.TaskLease),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -46,7 +46,6 @@
 	explainPath   = "/peer/explain"
 	keepPath      = "/peer/keep"
 	servedPath    = "/peer/served"
-	refusedPath   = "/peer/refused"
 )
 
 // A question names what it is about. Its fields are exported because a codec
@@ -60,8 +59,6 @@
 	At pointport.Revision `json:"at,omitempty"`
 	// Survey goes with a question on how a pool stands.
 	Survey *schedule.SurveyRequest `json:"survey,omitempty"`
-	// Asked is for how long the customer of a refused job had asked for it.
-	Asked time.Duration `json:"asked,omitempty"`
 	// Keep is a job that the asking member could not store.
 	Keep *intake.Submission `json:"keep,omitempty"`
 }
@@ -149,23 +146,6 @@
 	}()
 }
 
-// Refused tells a pool's owner, or who was the last that is known, that a job was refused
-// whose customer had asked for it for so long. A message that is lost costs the customer's
-// place among those who come back.
-func (o *Owners) Refused(pool, id string, asked time.Duration) {
-	holding, ok := o.roster.Holding(pool)
-	if !ok || holding.Mine || o.resting.has(holding.Member.Name) {
-		return
-	}
-	go func() {
-		_, err := o.post(context.Background(), holding.Member, refusedPath, question{Pool: pool, Job: id, Asked: asked})
-		if err != nil {
-			o.resting.add(holding.Member.Name)
-			event.PeerSilent.Log(o.logger, slog.String("pool", pool), slog.String("job", id), slog.Any("error", err))
-		}
-	}()
-}
-
 // Cancel has a pool's owner cancel a job.
 func (o *Owners) Cancel(ctx context.Context, pool, id string) (bool, error) {
 	if local, ok := o.keeper.Tenant(pool); ok {
@@ -218,9 +198,6 @@
 	Keep(ctx context.Context, s intake.Submission) error
 	// Served reports whether the platform's store answers at present.
 	Served() bool
-	// NoteRefused remembers that a job was refused whose customer had asked for it for
-	// so long.
-	NoteRefused(id string, asked time.Duration)
 }
 
 // Handler returns the other end: it answers for the owners that keeper runs, and
@@ -232,15 +209,6 @@
 		// Whoever has stopped waiting needs no answer.
 		_ = json.NewEncoder(w).Encode(reply{Known: store.Served()})
 	})
-	mux.HandleFunc("POST "+refusedPath, func(w http.ResponseWriter, r *http.Request) {
-		var q question
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&q); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		store.NoteRefused(q.Job, q.Asked)
-		_ = json.NewEncoder(w).Encode(reply{Known: true}) // whoever has stopped waiting needs no answer
-	})
 	handle := func(path string, answer func(context.Context, *shard.Owner, question) (reply, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			var q question
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -164,7 +164,7 @@
 	for _, t := range e.ready {
 		left = max(left, chains[t.ref.Step])
 	}
-	from := job.Asked()
+	from := job.Submitted()
 	if due := job.Spec().Due(first.K); !due.IsZero() {
 		from = due
 	}
--- a/shard/load.go
+++ b/shard/load.go
@@ -103,14 +103,9 @@
 		event.JobUnreadable.Log(o.logger, slog.String("job", id), slog.Any("error", err))
 		return
 	}
-	if o.asked != nil {
-		if since, ok := o.asked(id); ok {
-			j.AskedSince(since)
-		}
-	}
 	if o.book.Add(now, j) {
 		event.JobTaken.Log(o.logger, slog.String("job", id), slog.String("queue", j.Queue()),
-			slog.Duration("after", now.Sub(j.Submitted())), slog.Duration("asked", now.Sub(j.Asked())), slog.Bool("inherited", progress != nil))
+			slog.Duration("after", now.Sub(j.Submitted())), slog.Bool("inherited", progress != nil))
 	}
 }
 
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -76,9 +76,6 @@
 	Clock   pointport.Clock
 	Session *member.Session
 	Fleet   Incarnations
-	// Asked returns since when the customer of a job that was refused has asked for it;
-	// false if no refusal is known. It may be nil.
-	Asked func(job string) (time.Time, bool)
 }
 
 // An Owner keeps one pool. Its methods are safe for concurrent use.
@@ -89,7 +86,6 @@
 	clock    pointport.Clock
 	session  *member.Session
 	fleet    Incarnations
-	asked    func(job string) (time.Time, bool)
 	logger   *slog.Logger
 	own      member.Ownership
 	lease    time.Duration
@@ -146,7 +142,7 @@
 func Start(ctx context.Context, s Services, own member.Ownership, logger *slog.Logger, options ...Option) *Owner {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &Owner{
-		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, asked: s.Asked, own: own,
+		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, own: own,
 		logger: logger.With(slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence))),
 		lease:  DefaultLease, gangTime: defaultGangTime, far: defaultFar,
 		inbox: make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
--- a/workload/job.go
+++ b/workload/job.go
@@ -64,7 +64,6 @@
 	policy    Policy
 	spec      *Spec
 	submitted time.Time
-	asked     time.Time // zero if the customer did not ask before that
 	cancelled bool
 	failed    bool
 	// occurrences holds those that have begun and are not over.
@@ -98,18 +97,6 @@
 // Submitted returns when the job was accepted.
 func (j *Job) Submitted() time.Time { return j.submitted }
 
-// AskedSince takes in that the job was refused before it was accepted, and since when its
-// customer has asked for it.
-func (j *Job) AskedSince(t time.Time) { j.asked = t }
-
-// Asked returns since when the customer has asked for the job, as far as is known.
-func (j *Job) Asked() time.Time {
-	if j.asked.IsZero() || j.asked.After(j.submitted) {
-		return j.submitted
-	}
-	return j.asked
-}
-
 // Cancelled reports whether the customer has cancelled the job.
 func (j *Job) Cancelled() bool { return j.cancelled }
 
