Measure how late an owner's loop is, and show what an owner carries

Event 539 and gauges of lag, window of starts and delegation, so that an operator sees that a member carries too much.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -127,6 +127,7 @@
 	StartsHeldBack  = define(536, "starts held back", slog.LevelWarn, "Instances answer starts late because the owner of their pool is short of processor time or its link is full; it has fewer of them under way from now on. window says how many, took how late the answer was.")
 	OrdersDelegated = define(537, "orders delegated", slog.LevelInfo, "From now on the owner of a pool sends its orders through peers, or directly again, as through says; workers and window say why.")
 	DelegateLost    = define(538, "delegate lost", slog.LevelWarn, "A peer that carries an owner's orders, or the owner whose orders are carried, is gone; what has no result has an unknown effect.")
+	OwnerLate       = define(539, "owner late", slog.LevelWarn, "What the owner of a pool has to handle waits for it for longer than it should, as lag says; workers, messages that wait, window of starts and time of the last plan say why.", times("lag"))
 	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
 	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,6 +90,13 @@
 	return t, ok
 }
 
+// Tenants returns all tenants of this member.
+func (k *Keeper[T]) Tenants() []T {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Values(k.tenants))
+}
+
 // Count returns how many tenants this member has.
 func (k *Keeper[T]) Count() int {
 	k.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -303,6 +303,21 @@
 	return owned
 }
 
+// Load returns what the owners of this node's pools carry: the worst lag, the smallest
+// window of starts, and whether any sends its orders through peers; zero if there is none.
+func (n *Node) Load() shard.Load {
+	var sum shard.Load
+	for i, o := range n.keeper.Tenants() {
+		l := o.Load()
+		sum.Lag = max(sum.Lag, l.Lag)
+		sum.Delegating = sum.Delegating || l.Delegating
+		if i == 0 || l.Window < sum.Window {
+			sum.Window = l.Window
+		}
+	}
+	return sum
+}
+
 // Stop ends the node as planned: its pools go to others at once, and it goes on
 // answering until the balancer has noticed.
 func (n *Node) Stop() {
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -99,6 +100,9 @@
 	gangTime   time.Duration
 	far        float64
 
+	shownWindow     atomic.Int64
+	shownDelegating atomic.Bool
+
 	inbox chan func(now time.Time)
 	ready chan struct{} // closed once the book is loaded
 	done  chan struct{} // closed when the owner has ended
@@ -119,6 +123,7 @@
 	window   window
 	starts   starts
 	storing  int // starts in the batch that is being written
+	lag      lag
 	waiters  []waiter
 	removals []string
 	cancel   context.CancelFunc
@@ -232,8 +237,13 @@
 
 // do hands a message to the loop; false if the owner has ended.
 func (o *Owner) do(f func(now time.Time)) bool {
+	sent := o.clock.Now()
+	handle := func(now time.Time) {
+		o.lag.note(now, now.Sub(sent))
+		f(now)
+	}
 	select {
-	case o.inbox <- f:
+	case o.inbox <- handle:
 		return true
 	case <-o.done:
 		return false
@@ -258,6 +268,7 @@
 		o.send(ctx)
 	}
 	o.lookAround(ctx, now)
+	o.show(now)
 	return o.pause(now)
 }
 
