--- a/delegate/delegate_test.go
+++ b/delegate/delegate_test.go
@@ -187,7 +187,7 @@
 // carried out.
 func TestFailuresComeBackAsTheyAre(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := orderLine{Op: opStop, At: somewhere, Run: &pointport.TaskRun{Task: "a.0.0.0", Run: 1}}
+		o := newLine(opStop, somewhere, pointport.TaskRun{Task: "a.0.0.0", Run: 1}, 7)
 		cause := errors.New(rapid.String().Draw(t, "cause"))
 		err := rapid.SampledFrom([]error{
 			nil,
@@ -238,7 +238,7 @@
 			t.Errorf("start %d has a payload of %d bytes, want %d", n, len(o.Payload), payload)
 		}
 	}
-	const most = 240 // bytes, of 970 that a direct start takes
+	const most = 200 // bytes, of 970 that a direct start takes
 	if each := (p.sent.Load() - before) / tasks; each > most {
 		t.Errorf("%d bytes for a start, want %d at most", each, most)
 	}
--- a/delegate/executor.go
+++ b/delegate/executor.go
@@ -64,9 +64,8 @@
 
 // Start starts a run.
 func (e *Executor) Start(ctx context.Context, at pointport.Endpoint, o pointport.StartOrder) (pointport.InstanceClock, error) {
-	line := orderLine{Op: opStart, At: at, Fence: o.Fence, Start: &startLine{
-		Run: o.TaskRun, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Until: o.Until,
-	}}
+	line := newLine(opStart, at, o.TaskRun, o.Fence)
+	line.Start = &startLine{Checkpoint: o.Checkpoint, Ticket: o.Ticket, Until: o.Until}
 	r, err := e.carry(ctx, line, o.Payload, orderTimeout)
 	if errors.Is(err, errNotCarried) {
 		return e.direct.Start(ctx, at, o)
@@ -76,7 +75,7 @@
 
 // Stop stops a run.
 func (e *Executor) Stop(ctx context.Context, at pointport.Endpoint, o pointport.StopOrder) (pointport.InstanceClock, error) {
-	r, err := e.carry(ctx, orderLine{Op: opStop, At: at, Fence: o.Fence, Run: &o.TaskRun}, "", orderTimeout)
+	r, err := e.carry(ctx, newLine(opStop, at, o.TaskRun, o.Fence), "", orderTimeout)
 	if errors.Is(err, errNotCarried) {
 		return e.direct.Stop(ctx, at, o)
 	}
@@ -85,7 +84,9 @@
 
 // Pace sets the share of its work that a run may do.
 func (e *Executor) Pace(ctx context.Context, at pointport.Endpoint, o pointport.PaceOrder) error {
-	_, err := e.carry(ctx, orderLine{Op: opPace, At: at, Fence: o.Fence, Run: &o.TaskRun, Pace: o.Percent}, "", orderTimeout)
+	line := newLine(opPace, at, o.TaskRun, o.Fence)
+	line.Percent = o.Percent
+	_, err := e.carry(ctx, line, "", orderTimeout)
 	if errors.Is(err, errNotCarried) {
 		return e.direct.Pace(ctx, at, o)
 	}
@@ -94,14 +95,16 @@
 
 // Hold extends the time of what runs and returns what runs and has ended.
 func (e *Executor) Hold(ctx context.Context, at pointport.Endpoint, o pointport.HoldOrder) (pointport.Report, error) {
-	r, err := e.carry(ctx, orderLine{Op: opHold, At: at, Fence: o.Fence, Hold: &o}, "", orderTimeout+o.Wait)
+	line := newLine(opHold, at, pointport.TaskRun{}, o.Fence)
+	line.Hold = &holdLine{Until: o.Until, Acknowledged: o.Acknowledged, Wait: o.Wait}
+	r, err := e.carry(ctx, line, "", orderTimeout+o.Wait)
 	if errors.Is(err, errNotCarried) {
 		return e.direct.Hold(ctx, at, o)
 	}
-	if err != nil || r.Report == nil {
+	if err != nil {
 		return pointport.Report{}, err
 	}
-	return *r.Report, nil
+	return r.report(), nil
 }
 
 // errNotCarried says that no delegate has taken an order.
@@ -113,7 +116,7 @@
 // carry sends an order through the delegate of its instance. It fails with errNotCarried
 // if the order was not written to any stream.
 func (e *Executor) carry(ctx context.Context, o orderLine, payload string, timeout time.Duration) (resultLine, error) {
-	s := e.streamFor(o.At.Incarnation)
+	s := e.streamFor(o.Incarnation)
 	if s == nil {
 		return resultLine{}, errNotCarried
 	}
--- a/delegate/serve.go
+++ b/delegate/serve.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// errNotWhole says that an order lacks what its kind needs.
+var errNotWhole = errors.New("the order is not whole")
+
 // errNoSlot says that an owner names a payload that there is no room for.
 var errNoSlot = errors.New("an order names a payload out of range")
 
@@ -128,20 +131,22 @@
 	var err error
 	switch {
 	case o.Op == opStart && o.Start != nil:
-		result.Clock, err = e.Start(ctx, o.At, pointport.StartOrder{
-			TaskRun: o.Start.Run, Payload: payload, Checkpoint: o.Start.Checkpoint,
+		result.Clock, err = e.Start(ctx, o.at(), pointport.StartOrder{
+			TaskRun: o.run(), Payload: payload, Checkpoint: o.Start.Checkpoint,
 			Ticket: o.Start.Ticket, Fence: o.Fence, Until: o.Start.Until,
 		})
-	case o.Op == opStop && o.Run != nil:
-		result.Clock, err = e.Stop(ctx, o.At, pointport.StopOrder{TaskRun: *o.Run, Fence: o.Fence})
-	case o.Op == opPace && o.Run != nil:
-		err = e.Pace(ctx, o.At, pointport.PaceOrder{TaskRun: *o.Run, Percent: o.Pace, Fence: o.Fence})
+	case o.Op == opStop:
+		result.Clock, err = e.Stop(ctx, o.at(), pointport.StopOrder{TaskRun: o.run(), Fence: o.Fence})
+	case o.Op == opPace:
+		err = e.Pace(ctx, o.at(), pointport.PaceOrder{TaskRun: o.run(), Percent: o.Percent, Fence: o.Fence})
 	case o.Op == opHold && o.Hold != nil:
 		var report pointport.Report
-		report, err = e.Hold(ctx, o.At, *o.Hold)
-		result.Report = &report
+		report, err = e.Hold(ctx, o.at(), pointport.HoldOrder{
+			Fence: o.Fence, Until: o.Hold.Until, Acknowledged: o.Hold.Acknowledged, Wait: o.Hold.Wait,
+		})
+		result.Clock, result.Report = report.Clock, lineOf(report)
 	default:
-		err = o.unavailable(false, errors.New("the order is not whole"))
+		err = o.unavailable(false, errNotWhole)
 	}
 	result.Failed = failureOf(err)
 	return result
--- a/delegate/wire.go
+++ b/delegate/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/pointport/pointport"
 )
@@ -26,23 +27,40 @@
 	opPace  op = "pace"
 )
 
+// Lines are many and short, so their fields have names of a letter or two, and what is
+// zero is left out: a report in the words of the root package is twice as long.
+
 // An orderLine is an order to an instance. Its fields are exported because a codec reads
-// and writes them.
+// and writes them, as are those of the other lines.
 type orderLine struct {
-	Number int64              `json:"n"` // within the stream
-	Op     op                 `json:"op"`
-	At     pointport.Endpoint `json:"at"`
-	Fence  pointport.Fence    `json:"f"`
-
-	Start *startLine           `json:"s,omitempty"`
-	Run   *pointport.TaskRun   `json:"r,omitempty"` // of a stop or a pace
-	Hold  *pointport.HoldOrder `json:"h,omitempty"`
-	Pace  int                  `json:"p,omitempty"` // percent
+	Number      int64                   `json:"n"` // within the stream
+	Op          op                      `json:"op"`
+	Incarnation pointport.IncarnationID `json:"i"`
+	Address     string                  `json:"a"`
+	Fence       pointport.Fence         `json:"f"`
+
+	Task    string     `json:"t,omitempty"` // of all but a look
+	Run     int        `json:"r,omitempty"`
+	Start   *startLine `json:"s,omitempty"`
+	Hold    *holdLine  `json:"h,omitempty"`
+	Percent int        `json:"p,omitempty"` // of a pace
+}
+
+// at returns where the order goes.
+func (o *orderLine) at() pointport.Endpoint {
+	return pointport.Endpoint{Incarnation: o.Incarnation, Address: o.Address}
+}
+
+// run returns the run that the order is about.
+func (o *orderLine) run() pointport.TaskRun { return pointport.TaskRun{Task: o.Task, Run: o.Run} }
+
+// newLine returns an order about a run on an incarnation.
+func newLine(op op, at pointport.Endpoint, run pointport.TaskRun, fence pointport.Fence) orderLine {
+	return orderLine{Op: op, Incarnation: at.Incarnation, Address: at.Address, Fence: fence, Task: run.Task, Run: run.Run}
 }
 
-// A startLine is a start without its payload, which is in a slot of the stream.
+// A startLine is what else there is to a start. Its payload is in a slot of the stream.
 type startLine struct {
-	Run        pointport.TaskRun       `json:"r"`
 	Checkpoint string                  `json:"c,omitempty"`
 	Ticket     string                  `json:"t,omitempty"`
 	Until      pointport.InstanceClock `json:"u"`
@@ -51,14 +69,76 @@
 	Payload *string `json:"v,omitempty"`
 }
 
+// A holdLine is what else there is to a look.
+type holdLine struct {
+	Until        pointport.InstanceClock `json:"u,omitempty"`
+	Acknowledged int64                   `json:"a,omitempty"`
+	Wait         time.Duration           `json:"w,omitempty"`
+}
+
 // A resultLine is what came of an order.
 type resultLine struct {
 	Number int64                   `json:"n"`
 	Clock  pointport.InstanceClock `json:"c,omitempty"`
-	Report *pointport.Report       `json:"r,omitempty"` // of a hold
+	Report *reportLine             `json:"r,omitempty"` // of a look
 	Failed *failure                `json:"e,omitempty"`
 }
 
+// A reportLine is a report, the clock of which is the result's.
+type reportLine struct {
+	Running []runningLine `json:"r,omitempty"`
+	Ended   []endedLine   `json:"e,omitempty"`
+}
+
+// A runningLine is a run that an instance has.
+type runningLine struct {
+	Task       string `json:"t"`
+	Run        int    `json:"r"`
+	Checkpoint string `json:"c,omitempty"`
+	Progress   int    `json:"p,omitempty"`
+	Load       int    `json:"l,omitempty"`
+}
+
+// An endedLine is a run that has ended.
+type endedLine struct {
+	Number     int64             `json:"n"`
+	Task       string            `json:"t"`
+	Run        int               `json:"r"`
+	Kind       pointport.EndKind `json:"k"`
+	Checkpoint string            `json:"c,omitempty"`
+}
+
+// lineOf returns the line for a report.
+func lineOf(r pointport.Report) *reportLine {
+	line := &reportLine{}
+	for _, t := range r.Running {
+		line.Running = append(line.Running, runningLine{t.Task, t.Run, t.Checkpoint, t.Progress, t.Load})
+	}
+	for _, e := range r.Ended {
+		line.Ended = append(line.Ended, endedLine{e.Number, e.Task, e.Run, e.Kind, e.Checkpoint})
+	}
+	return line
+}
+
+// report returns the report that a result stands for.
+func (r *resultLine) report() pointport.Report {
+	out := pointport.Report{Clock: r.Clock}
+	if r.Report == nil {
+		return out
+	}
+	for _, t := range r.Report.Running {
+		out.Running = append(out.Running, pointport.RunningTask{
+			TaskRun: pointport.TaskRun{Task: t.Task, Run: t.Run}, Checkpoint: t.Checkpoint, Progress: t.Progress, Load: t.Load,
+		})
+	}
+	for _, e := range r.Report.Ended {
+		out.Ended = append(out.Ended, pointport.TaskEnd{
+			Number: e.Number, TaskRun: pointport.TaskRun{Task: e.Task, Run: e.Run}, Kind: e.Kind, Checkpoint: e.Checkpoint,
+		})
+	}
+	return out
+}
+
 // A failure is an error of an Executor.
 type failure struct {
 	Rejected  pointport.RejectReason `json:"rejected,omitempty"`
@@ -91,21 +171,18 @@
 	case f == nil:
 		return nil
 	case f.Rejected != "":
-		return &pointport.RejectedError{Incarnation: o.At.Incarnation, Reason: f.Rejected}
+		return &pointport.RejectedError{Incarnation: o.Incarnation, Reason: f.Rejected}
 	case f.Gone:
-		return &pointport.GoneError{Incarnation: o.At.Incarnation}
+		return &pointport.GoneError{Incarnation: o.Incarnation}
 	}
 	return o.unavailable(f.Ambiguous, errors.New(f.Cause))
 }
 
 // unavailable returns the error that no usable answer came to an order.
 func (o orderLine) unavailable(ambiguous bool, cause error) error {
-	key := string(o.At.Incarnation)
-	switch {
-	case o.Start != nil:
-		key = o.Start.Run.Task
-	case o.Run != nil:
-		key = o.Run.Task
+	key := string(o.Incarnation)
+	if o.Task != "" {
+		key = o.Task
 	}
 	return &pointport.UnavailableError{Op: string(o.Op), Key: key, Ambiguous: ambiguous, Err: cause}
 }
--- a/shard/delegate.go
+++ b/shard/delegate.go
@@ -10,27 +10,22 @@
 
 // This file defines when an owner sends its orders through peers.
 
-const (
-	// delegateFor is for how long orders go through peers after the window of starts was
-	// last narrowed. Going back costs some tenths of a second in which the link is full
-	// again, if the load has not ended.
-	delegateFor = 30 * time.Second
-	// delegateAbove is from how many instances on they do in any case. An owner keeps
-	// two or three connections to each, at some 20 KB, and looks at each once a second.
-	delegateAbove = 320
-)
+// delegateFor is for how long orders go through peers after the window of starts was
+// last narrowed. Going back costs some tenths of a second in which the link is full
+// again, if the load has not ended.
+const delegateFor = 30 * time.Second
 
 // delegate decides which way orders go from now on.
 func (o *Owner) delegate(now time.Time) {
 	if o.delegates == nil {
 		return
 	}
-	workers := o.book.WorkerCount()
-	pressed := !o.window.narrowed.IsZero() && now.Sub(o.window.narrowed) < delegateFor
-	if next := pressed || workers > delegateAbove; next != o.delegating {
-		o.delegating = next
-		event.OrdersDelegated.Log(o.logger, slog.Bool("through", next), slog.Int("workers", workers), slog.Int("window", int(o.window.size)))
+	next := !o.window.narrowed.IsZero() && now.Sub(o.window.narrowed) < delegateFor
+	if next == o.delegating {
+		return
 	}
+	o.delegating = next
+	event.OrdersDelegated.Log(o.logger, slog.Bool("through", next), slog.Int("workers", o.book.WorkerCount()), slog.Int("window", int(o.window.size)))
 }
 
 // way returns by which way an order goes.
