Bring pools what can still end in time first, and let late backlogs give way

Change: owners say how much of their need is late; all pools are brought what runs and what can be in time before any is brought the rest, and a pool whose backlog is all late gives instances up to one that waits in time.

--- a/capacity/planner_test.go
+++ b/capacity/planner_test.go
@@ -32,6 +32,8 @@
 	closed   map[pointport.InstanceID]bool
 	need     map[string]int64 // thousandths of a core
 	waiting  map[string]int64 // of the need, what waits
+	late     map[string]int64 // of the need, what can hardly end in time
+	lateWait map[string]int64 // of what waits, the same
 	unserved map[string]int   // instances that serving tasks miss
 	lives    int
 }
@@ -39,7 +41,8 @@
 func newFleet(perPool int, pools ...string) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), back: make(map[pointport.InstanceID]time.Time), runs: make(map[pointport.InstanceID]int),
-		serving: make(map[pointport.InstanceID]int), closed: make(map[pointport.InstanceID]bool), need: make(map[string]int64), waiting: make(map[string]int64), unserved: make(map[string]int),
+		serving: make(map[pointport.InstanceID]int), closed: make(map[pointport.InstanceID]bool), need: make(map[string]int64), waiting: make(map[string]int64),
+		late: make(map[string]int64), lateWait: make(map[string]int64), unserved: make(map[string]int),
 	}
 	for n := range perPool * len(pools) {
 		m := &pointport.Machine{
@@ -82,6 +85,7 @@
 func (f *fleet) survey(pool string) schedule.Survey {
 	s := schedule.Survey{Arrived: true, Need: pointport.Shape{CPUMilli: f.need[pool]}, Unserved: f.unserved[pool]}
 	s.Waiting = pointport.Shape{CPUMilli: f.waiting[pool]}
+	s.Late, s.WaitingLate = pointport.Shape{CPUMilli: f.late[pool]}, pointport.Shape{CPUMilli: f.lateWait[pool]}
 	for _, m := range f.machines {
 		if m.Pool == pool && m.Incarnation != "" {
 			s.Instances = append(s.Instances, schedule.InstanceLoad{
@@ -289,6 +293,49 @@
 	}
 }
 
+// While all pools together want more than there is, one whose whole backlog is late gives
+// instances up to one with customers who can still be served in time; not the other way
+// round, and not to one that is late as well.
+func TestLateBacklogGivesWay(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		lateOfB        int64
+		closedA, given bool
+	}{
+		{"the other can be in time", 0, true, true},
+		{"the other is late as well", 9000, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(6, "a", "b")
+			p := capacity.NewPlanner(settings)
+			for _, m := range f.machines {
+				f.runs[m.ID] = 1 // every instance is in use
+			}
+			f.need["a"], f.waiting["a"], f.late["a"], f.lateWait["a"] = 20000, 14000, 20000, 14000
+			f.need["b"], f.waiting["b"], f.late["b"], f.lateWait["b"] = 9000, 3000, tc.lateOfB, min(tc.lateOfB, 3000)
+			d := f.step(p, time.Second, nil)
+			if got := len(d.Closures["a"]) > 0; got != tc.closedA {
+				t.Errorf("instances of the pool whose backlog is late are emptied: %v, want %v", got, tc.closedA)
+			}
+			if n := len(d.Closures["b"]); n > 0 {
+				t.Errorf("%d instances of the other pool are emptied", n)
+			}
+			for range 20 {
+				f.step(p, 250*time.Millisecond, nil)
+				for id := range f.closed {
+					f.runs[id] = 0
+				}
+			}
+			if got := f.count("b") > 6; got != tc.given {
+				t.Errorf("the other pool has %d instances of 12", f.count("b"))
+			}
+			if f.count("a") < 1 {
+				t.Error("the pool whose backlog is late has no instance left")
+			}
+		})
+	}
+}
+
 func TestInstancesWithALabelAreBroughtIn(t *testing.T) {
 	f := newFleet(3, "a", "b", spareName)
 	for _, m := range f.machines {
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -42,8 +42,12 @@
 	want int
 	// least is how many hold what the pool's tasks take, with hardly any headroom.
 	least int
-	// pressed says that tasks wait for room in the pool.
-	pressed bool
+	// timely is how many it should have for what runs there and for what waits and can
+	// still end in time; timelyLeast with hardly any headroom.
+	timely, timelyLeast int
+	// pressed says that tasks wait for room in the pool, eager that some of them can
+	// still end in time.
+	pressed, eager bool
 	// urgent says that serving tasks find no room, or that the pool has no
 	// instance to give them any.
 	urgent bool
@@ -57,6 +61,9 @@
 	if to.pressed && !s.pressed {
 		return max(min(s.want, s.least), leastInstances)
 	}
+	if to.eager && !s.eager {
+		return max(min(s.want, s.timelyLeast), leastInstances)
+	}
 	return max(s.want, leastInstances)
 }
 
@@ -66,6 +73,9 @@
 	if s.urgent != o.urgent {
 		return s.urgent
 	}
+	if missing, other := s.timely-s.have, o.timely-o.have; missing != other && max(missing, other) > 0 {
+		return missing > other
+	}
 	return s.want-s.have > o.want-o.have
 }
 
@@ -123,14 +133,20 @@
 	}
 	s.want = max(inUse, instancesFor(need, room, n, headroom))
 	s.least = max(inUse, instancesFor(need, room, n, tightHeadroom))
+	intime := need.Minus(p.surveys[pool].Late)
+	s.timely = max(inUse, instancesFor(intime, room, n, headroom))
+	s.timelyLeast = max(inUse, instancesFor(intime, room, n, tightHeadroom))
 	s.pressed = p.pressed(pool)
+	s.eager = p.surveys[pool].Waiting.Minus(p.surveys[pool].WaitingLate).CPUMilli > 0
 	if !anywhere {
 		s.want = max(s.want, leastInstances)
 	}
 	v := p.surveys[pool]
 	if more := max(v.Spread, v.Unserved+v.Unmoved); more > 0 {
 		s.want = max(s.want, s.have+more)
+		s.timely = s.want
 	}
+	s.timely = min(s.timely, s.want)
 	since, unserved := p.unserved[pool]
 	s.urgent = unserved && now.Sub(since) >= urgentAfter || s.have == 0 && s.want > 0
 	sort.Slice(s.idle, func(i, k int) bool {
--- a/capacity/supply.go
+++ b/capacity/supply.go
@@ -40,17 +40,27 @@
 	for i := range sizes {
 		p.supplyLabels(now, d, &sizes[i], sizes, &spare)
 	}
+	p.supplyAll(now, d, sizes, &spare, func(s *size) int { return s.timely })
+	p.supplyAll(now, d, sizes, &spare, func(s *size) int { return s.want })
+	p.unclaim()
+	for i := range sizes {
+		p.retire(now, d, &sizes[i])
+	}
+}
+
+// supplyAll brings the pools what they miss of a goal. What runs, and what waits and can
+// still end in time, comes first in all of them: while all pools together want more than
+// there is, one with a backlog that is late already would keep the instances from one whose
+// customers can still be served in time.
+func (p *Planner) supplyAll(now time.Time, d *Decision, sizes []size, spare *[]*machine, goal func(*size) int) {
 	for i := range sizes {
-		for sizes[i].have < sizes[i].want {
-			if !p.supply(now, d, &sizes[i], sizes, &spare, "") {
+		to := &sizes[i]
+		for to.have < goal(to) {
+			if !p.supply(now, d, to, sizes, spare, "") {
 				break
 			}
 		}
-		p.claim(now, d, &sizes[i], sizes)
-	}
-	p.unclaim()
-	for i := range sizes {
-		p.retire(now, d, &sizes[i])
+		p.claim(now, d, to, sizes, goal(to))
 	}
 }
 
@@ -145,8 +155,8 @@
 // claim empties busy instances of other pools for one that misses some and found
 // none that is free: those that their pools need no more, and one of any pool if
 // serving tasks have found no room for some time.
-func (p *Planner) claim(now time.Time, d *Decision, to *size, sizes []size) {
-	for to.have < to.want {
+func (p *Planner) claim(now time.Time, d *Decision, to *size, sizes []size, goal int) {
+	for to.have < goal {
 		m, from := p.surplus(now, to, sizes)
 		if m == nil && to.starving(now, p.unserved) {
 			m, from = p.busiest(now, to, sizes)
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -40,6 +40,10 @@
 	Arrived bool `json:"arrived,omitempty"`
 	// Waiting is the room that tasks want whose turn has come.
 	Waiting pointport.Shape `json:"waiting"`
+	// Late is as much of Need as is taken or wanted by jobs that will hardly end in time,
+	// WaitingLate as much of Waiting.
+	Late        pointport.Shape `json:"late"`
+	WaitingLate pointport.Shape `json:"waitingLate"`
 	// Spread is how many more instances it takes to hold the tasks whose step
 	// bounds how many of them one instance may hold, or that failed where they
 	// could be.
@@ -103,6 +107,9 @@
 		for _, t := range e.ready {
 			room := t.step.Room()
 			s.Waiting = s.Waiting.Plus(room)
+			if e.standing.class == classLate {
+				s.WaitingLate = s.WaitingLate.Plus(room)
+			}
 			if label := t.step.Label; label != "" {
 				s.want(label, room)
 			}
@@ -113,6 +120,7 @@
 		s.want(rack, room)
 	}
 	s.Need = b.need(now, s.Waiting)
+	s.Late = s.WaitingLate.Plus(b.lateRoom())
 	s.Arrived = b.arrivals.any
 	s.Spread = b.spread(now)
 	m := b.missingForServing(now)
@@ -207,6 +215,19 @@
 	return largest(sum, coming)
 }
 
+// lateRoom returns the room that tasks take whose jobs will hardly end in time.
+func (b *Book) lateRoom() pointport.Shape {
+	var sum pointport.Shape
+	for _, w := range b.workers {
+		for _, r := range w.runs {
+			if r.entry.standing.class == classLate {
+				sum = sum.Plus(r.step().Room())
+			}
+		}
+	}
+	return sum
+}
+
 // servingRoom returns the room that serving tasks take.
 func (b *Book) servingRoom() pointport.Shape {
 	var sum pointport.Shape
