--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -145,6 +145,8 @@
 			ready = err != nil && strings.HasPrefix(err.Error(), "there is no job")
 		}
 		if !ready {
+			log, err := os.ReadFile(e.logPath)
+			t.Logf("the log of %s begins (%v):\n%.4000s", e.name, err, log)
 			t.Fatalf("%s is not ready after %v", e.name, startTime)
 		}
 	}
