Send starts that wait though nothing under way lets them go; tell each late second once

Starts held by the window were let go by answers alone; where all answers came while the owner could not prove its ownership, and the window had narrowed so that nothing more was placed, they would have waited for good. A turn now looks at them: shard/orders_test.go fails before.

--- a/node/pressed_test.go
+++ b/node/pressed_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/memory"
 	"github.com/pointport/pointport/node"
 	"github.com/pointport/pointport/testbed"
 	"github.com/pointport/pointport/workload"
@@ -73,6 +74,20 @@
 	press(t, 5, all*9/10)
 }
 
+// While an owner cannot prove its ownership it sends nothing, and what waited to be sent
+// meanwhile goes on once it can: the answers that would have let it go have come by then.
+func TestStartsThatWaitedGoOnOnceOwnershipIsProven(t *testing.T) {
+	press(t, 1, 0, func(c *cluster, owner string) {
+		from, until := time.Now().Add(4*time.Second), time.Now().Add(6*time.Second)
+		c.setStoreFate(func(node, op string) memory.Fault {
+			if now := time.Now(); node == owner && op != "renew" && now.After(from) && now.Before(until) {
+				return memory.FaultLostCall
+			}
+			return memory.FaultNone
+		})
+	})
+}
+
 const (
 	// pressedInstances, of 4 cores, run 1,280 tasks a second of half a second on half a
 	// core; pressedJobs a second have pressedTasks each, which makes 440.
@@ -84,7 +99,7 @@
 
 // press submits jobs to a cluster of some nodes in which the owner's link is thin, and
 // checks that so many have ended when the last was submitted.
-func press(t *testing.T, nodes, want int) {
+func press(t *testing.T, nodes, want int, troubles ...func(c *cluster, owner string)) {
 	room := pointport.Shape{CPUMilli: 500, MemoryMiB: 64}
 	bubble(t, nodes, func(c *cluster) {
 		for n := range pressedInstances {
@@ -100,6 +115,9 @@
 			}
 			return link.carry(op)
 		})
+		for _, trouble := range troubles {
+			trouble(c, owner)
+		}
 		asked := c.nodes["n0"].node
 		q := queue(t, asked, "shift-close")
 		spec := &workload.Spec{Payload: "x", Steps: []workload.Step{{Count: pressedTasks, Need: room, Estimate: 500 * time.Millisecond}}}
@@ -107,8 +125,12 @@
 		next := time.Now()
 		for n := range int(pressedFor/time.Second) * pressedJobs {
 			id := fmt.Sprintf("%016x", n+1)
-			submit(t, asked, q, id, spec)
-			ids = append(ids, id)
+			if len(troubles) == 0 {
+				submit(t, asked, q, id, spec)
+				ids = append(ids, id)
+			} else if asked.Desk().Submit(context.Background(), q, id, spec) == nil {
+				ids = append(ids, id)
+			}
 			next = next.Add(time.Second / pressedJobs)
 			time.Sleep(time.Until(next))
 		}
--- a/shard/lag.go
+++ b/shard/lag.go
@@ -23,6 +23,7 @@
 type lag struct {
 	worst time.Duration // since began
 	began time.Time
+	fresh bool         // whether last has not been looked at
 	last  atomic.Int64 // the worst of the span before, in nanoseconds
 }
 
@@ -32,14 +33,22 @@
 	l.worst = max(l.worst, waited)
 }
 
-// roll begins a new span if the last one is over. It reports whether it did.
-func (l *lag) roll(now time.Time) bool {
+// roll begins a new span if the last one is over.
+func (l *lag) roll(now time.Time) {
 	if now.Sub(l.began) < lagSpan {
-		return false
+		return
 	}
 	l.last.Store(int64(l.worst))
-	l.worst, l.began = 0, now
-	return true
+	l.worst, l.began, l.fresh = 0, now, true
+}
+
+// take returns the worst of the last span; false if it was taken before. A message that
+// is handled may begin a span as well as the turn that says what the last one held.
+func (l *lag) take(now time.Time) (time.Duration, bool) {
+	l.roll(now)
+	fresh := l.fresh
+	l.fresh = false
+	return time.Duration(l.last.Load()), fresh
 }
 
 // A Load is what an owner carries, and how well.
@@ -61,10 +70,7 @@
 func (o *Owner) show(now time.Time) {
 	o.shownWindow.Store(int64(o.window.size))
 	o.shownDelegating.Store(o.delegating)
-	if !o.lag.roll(now) {
-		return
-	}
-	if worst := time.Duration(o.lag.last.Load()); worst >= lateLoop {
+	if worst, fresh := o.lag.take(now); fresh && worst >= lateLoop {
 		event.OwnerLate.Log(o.logger, slog.Duration("lag", worst), slog.Int("workers", o.book.WorkerCount()),
 			slog.Int("messages", len(o.inbox)), slog.Int("window", int(o.window.size)), slog.Duration("plan", o.turnGap/turnShare))
 	}
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -27,8 +27,15 @@
 // answer does not hold up the rest.
 const laneWidth = 2
 
-// send sends the orders that are due.
+// send sends the orders that are due, and what waits although nothing that is under way
+// will let it go: while the owner could not prove its ownership, answers sent nothing.
 func (o *Owner) send(ctx context.Context) {
+	for _, l := range o.lanes {
+		if l.inFlight == 0 && !l.held {
+			o.pump(ctx, l)
+		}
+	}
+	o.pumpHeld(ctx)
 	for _, order := range o.book.TakeOrders() {
 		l := o.lanes[order.Worker]
 		if l == nil {
--- /dev/null
+++ b/shard/orders_test.go
@@ -0,0 +1,64 @@
+package shard
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/schedule"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file tests how starts that wait are sent.
+
+// A starter is an Executor that tells of each start.
+type starter struct {
+	pointport.Executor
+	started chan pointport.StartOrder
+}
+
+// Start tells of a start.
+func (s *starter) Start(_ context.Context, _ pointport.Endpoint, o pointport.StartOrder) (pointport.InstanceClock, error) {
+	s.started <- o
+	return 1, nil
+}
+
+// All starts under way may be answered while the owner cannot prove its ownership, when it
+// sends nothing. Those that wait behind them go on with its next turn: no answer will come
+// that lets them go, and so many may wait that nothing more is placed.
+func TestHeldStartsGoOnWithoutAnAnswer(t *testing.T) {
+	now := time.Now()
+	book := schedule.NewBook(now, schedule.Settings{Lease: time.Second}, slog.New(slog.DiscardHandler))
+	size := pointport.Shape{CPUMilli: 4000, MemoryMiB: 4000}
+	book.SetIncarnations(now, []pointport.Incarnation{
+		pointport.NewIncarnation("i-1", "p", "10.0.0.1:1", pointport.WithInstance("m-1"), pointport.WithCapacity(size)),
+	})
+	worker := book.Workers()[0]
+	book.Report(worker, now, now, pointport.Report{Clock: 1})
+	book.Add(now, workload.New("a", "q", workload.Policy{}, &workload.Spec{
+		Steps: []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: 100, MemoryMiB: 100}}},
+	}, now))
+	book.Plan(now)
+	book.Stored(book.TakeBatch(quickEntries), now)
+	order := book.TakeOrders()[0]
+	executor := &starter{started: make(chan pointport.StartOrder, 1)}
+	o := &Owner{
+		book: book, executor: executor, clock: clock.System{}, lease: time.Second, window: newWindow(),
+		inbox: make(chan func(time.Time), inboxSize), done: make(chan struct{}),
+		lanes: map[*schedule.Worker]*lane{worker: {worker: worker, queue: []schedule.Order{order}, held: true}},
+	}
+	o.held = append(o.held, o.lanes[worker])
+	o.starts.queued = 1
+	o.send(t.Context())
+	select {
+	case <-executor.started:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a start that waits while nothing is under way is not sent")
+	}
+	if o.starts.queued != 0 || o.starts.underWay != 1 {
+		t.Errorf("%d starts wait and %d are under way, want none and one", o.starts.queued, o.starts.underWay)
+	}
+}
