--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -96,11 +96,12 @@
 	StartUnanswered = define(508, "start unanswered", slog.LevelWarn, "An instance gave no answer to a start; it is sent again, which changes nothing if the task runs.")
 	RunEnded        = define(509, "run ended", slog.LevelInfo, "An instance says that a run of a task has ended; how says in which way.",
 		splits("how", "done", "failed", "stopped", "lapsed", "gangBroken", "gangAlone"), times("after"))
-	TaskReturned   = define(510, "task returned", slog.LevelInfo, "A placed task waits again; reason says what became of its run.")
-	StrayRun       = define(511, "stray run stopped", slog.LevelWarn, "An instance runs what no task is placed as; it is stopped.")
-	WorkerSilent   = define(512, "instance silent", slog.LevelWarn, "An instance gives no answer; what runs there counts as ended once expiresIn has passed.")
-	WorkerExpired  = define(513, "instance expired", slog.LevelWarn, "An instance was silent for so long that everything there has ended; its tasks wait again.")
-	WorkerEnded    = define(514, "incarnation ended", slog.LevelInfo, "An incarnation of an instance is over; what ran there has died with it.")
+	TaskReturned  = define(510, "task returned", slog.LevelInfo, "A placed task waits again; reason says what became of its run.")
+	StrayRun      = define(511, "stray run stopped", slog.LevelWarn, "An instance runs what no task is placed as; it is stopped.")
+	WorkerSilent  = define(512, "instance silent", slog.LevelWarn, "An instance gives no answer; what runs there counts as ended once expiresIn has passed.")
+	WorkerExpired = define(513, "instance expired", slog.LevelWarn, "An instance was silent for so long that everything there has ended; its tasks wait again.")
+	WorkerEnded   = define(514, "incarnation ended", slog.LevelInfo, "An incarnation of an instance is over; what ran there has died with it. cause says whether it crashed, had announced that it leaves, or was moved or maintained by our order.",
+		splits("cause", "crashed", "left", "ordered"))
 	WorkerDraining = define(515, "instance draining", slog.LevelInfo, "An instance is about to leave; it gets no new tasks, and serving tasks move off.")
 	JobTaken       = define(516, "job taken", slog.LevelInfo, "The owner of a pool has taken in a job; inherited says whether an earlier owner had begun it.",
 		splits("inherited", "true", "false"), times("after"))
@@ -128,6 +129,8 @@
 	OrdersDelegated = define(537, "orders delegated", slog.LevelInfo, "From now on the owner of a pool sends its orders through peers, or directly again, as through says; workers and window say why.")
 	DelegateLost    = define(538, "delegate lost", slog.LevelWarn, "A peer that carries an owner's orders, or the owner whose orders are carried, is gone; what has no result has an unknown effect.")
 	OwnerLate       = define(539, "owner late", slog.LevelWarn, "What the owner of a pool has to handle waits for it for longer than it should, as lag says; workers, messages that wait, window of starts and time of the last plan say why.", times("lag"))
-	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
-	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+	RunLost         = define(540, "run lost", slog.LevelInfo, "A run of a task has died with its instance; cause is that of the instance's end, sinceSeen for how long the run was known to run, beside how many other runs were there.",
+		splits("cause", "crashed", "left", "ordered"), times("sinceSeen"))
+	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
+	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -355,6 +355,9 @@
 	}
 	for id, w := range b.workers {
 		w.listed = listed[id]
+		if w.listed {
+			w.answeredUnlisted = false
+		}
 	}
 	b.sweep(now)
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -18,6 +18,7 @@
 	}
 	w.life.read(now, report.Clock)
 	w.silent = false // an answer to an order would not tell what the instance runs
+	w.answeredUnlisted = w.answeredUnlisted || !w.listed
 	for _, end := range report.Ended {
 		b.taskEnded(w, now, end)
 	}
--- a/schedule/silence.go
+++ b/schedule/silence.go
@@ -62,21 +62,6 @@
 	}
 }
 
-// EndIncarnation takes in proof that an incarnation is over.
-func (b *Book) EndIncarnation(now time.Time, id pointport.IncarnationID) {
-	if w := b.workers[id]; w != nil && !w.ended {
-		b.workerEnded(w, now, "the platform says so")
-	}
-}
-
-// workerEnded takes in that an incarnation is over; what ran there has died.
-func (b *Book) workerEnded(w *Worker, now time.Time, why string) {
-	event.WorkerEnded.Log(b.logger, slog.String("incarnation", string(w.inc.ID())),
-		slog.Int("runs", len(w.runs)), slog.String("reason", why))
-	w.ended = true
-	b.dropAll(w, now, "its incarnation is over")
-}
-
 func (b *Book) dropAll(w *Worker, now time.Time, reason string) {
 	for _, r := range w.runs {
 		b.drop(now, r, reason)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -35,6 +35,9 @@
 	ended bool
 	// listed says that the platform still lists it.
 	listed bool
+	// answeredUnlisted says that it has answered since it was last listed, so that it is
+	// alive and about to leave without having said so.
+	answeredUnlisted bool
 	// seen is the highest end number taken in, acked the highest whose
 	// consequences are stored.
 	seen, acked int64
