A test that brings the incident about: a task that crashes its instance is started for ever

The fleet of the testbed gains tasks that crash their instance and judges the starts after three crashes.

--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -63,6 +63,8 @@
 	away     map[pointport.InstanceID]int64   // the last of them
 	bounds   map[int64]int                    // by wave
 	taken    map[string]bool                  // serving tasks that were stopped and are not back at work
+	crashes  map[string]int                   // by task, the instances that it has crashed
+	onward   map[string]int                   // by task, its starts after as many crashes as one may cause
 }
 
 // An Option changes a Fleet.
@@ -113,7 +115,7 @@
 		changed: make(chan struct{}), done: make(map[string]bool), ends: make(map[*incarnation]map[int64]string), told: make(map[string]time.Time),
 		register: func(pointport.Incarnation, bool) {}, starts: make(map[string]int),
 		maintain: make(map[pointport.InstanceID][]int64), away: make(map[pointport.InstanceID]int64), bounds: make(map[int64]int),
-		taken: make(map[string]bool),
+		taken: make(map[string]bool), crashes: make(map[string]int), onward: make(map[string]int),
 	}
 	for _, o := range options {
 		o(f)
@@ -179,10 +181,13 @@
 func (f *Fleet) Crash(id pointport.InstanceID, down time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.machines[id]
-	if m == nil || m.life == nil {
-		return
+	if m := f.machines[id]; m != nil && m.life != nil {
+		f.crash(m, down)
 	}
+}
+
+// crash ends a machine's life as Crash does. The lock is held.
+func (f *Fleet) crash(m *Machine, down time.Duration) {
 	f.end(m)
 	m.state = pointport.MachineDown
 	if down > 0 {
@@ -365,6 +370,7 @@
 // checkStart notes what is wrong with a start. The lock is held.
 func (f *Fleet) checkStart(now time.Time, at *incarnation, r *run, o pointport.StartOrder) {
 	f.starts[r.Task]++
+	f.checkCrashes(now, r)
 	if f.done[r.Task] && !r.work.Copies {
 		f.violate(now, r.Task, "starts again after its owner heard that it is done")
 	}
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -189,6 +189,9 @@
 	}
 	i.runs[o.Task] = r
 	i.fleet.gather(now, r)
+	if work.Crashes {
+		i.crashSoon(r)
+	}
 	i.fleet.wake()
 	return nil
 }
--- a/testbed/work.go
+++ b/testbed/work.go
@@ -17,6 +17,8 @@
 	Duration time.Duration
 	// Fails says that the run ends as failed.
 	Fails bool
+	// Crashes says that the run ends its instance a moment after its start.
+	Crashes bool
 	// Serves says that the task runs until it is stopped.
 	Serves bool
 	// Copies says that the task may run more than once at a time.
@@ -35,7 +37,7 @@
 type WorkSource func(order pointport.StartOrder) Work
 
 // PayloadWork reads what a task does from its payload, words such as
-// "duration=300ms cpu=500 memory=256 fails=true serves=true". Words that it does
+// "duration=300ms cpu=500 memory=256 fails=true crashes=true serves=true". Words that it does
 // not know are passed over.
 func PayloadWork(order pointport.StartOrder) Work {
 	w := Work{Duration: defaultDuration}
@@ -52,6 +54,8 @@
 			w.Room.MemoryMiB, _ = strconv.ParseInt(value, 10, 64)
 		case "fails":
 			w.Fails = value == "true"
+		case "crashes":
+			w.Crashes = value == "true"
 		case "serves":
 			w.Serves = value == "true"
 		}
