The serving job of the crash test serves

In the test as first committed the job beside it ended by itself, since the work of its tasks was not said to serve; the check is the same.

--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -23,13 +23,17 @@
 // run numbers, and in the instances' own account each run's start 10 ms before its
 // instance's end.
 
-// poison names the job whose first task crashes its instance.
-const poison = "00000000000000dd"
+// poison names the job whose first task crashes its instance, besideServing a job beside it
+// whose tasks serve.
+const (
+	poison        = "00000000000000dd"
+	besideServing = "00000000000000ee"
+)
 
 // crashing is what tasks do where the first one of the poison job crashes its instance.
 func crashing(change func(*testbed.Work)) testbed.WorkSource {
 	return func(o pointport.StartOrder) testbed.Work {
-		w := testbed.Work{Room: crashRoom, Duration: 800 * time.Millisecond}
+		w := testbed.Work{Room: crashRoom, Duration: 800 * time.Millisecond, Serves: strings.HasPrefix(o.Task, besideServing)}
 		if strings.HasPrefix(o.Task, poison) {
 			w.Crashes = strings.HasSuffix(o.Task, ".0")
 			change(&w)
@@ -105,7 +109,7 @@
 	q := queue(c.t, n, "shift-close")
 	beside := &workload.Spec{Steps: []workload.Step{{Count: 3, Need: crashRoom, Estimate: 800 * time.Millisecond}}}
 	serving := &workload.Spec{Steps: []workload.Step{{Count: 2, Need: crashRoom, Service: true, MaxPerInstance: 1}}}
-	submit(c.t, n, q, "00000000000000ee", serving)
+	submit(c.t, n, q, besideServing, serving)
 	for i := range 3 {
 		submit(c.t, n, q, fmt.Sprintf("%016x", i), beside)
 	}
@@ -122,8 +126,8 @@
 		c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, 30*time.Second)
 	}
 	time.Sleep(10 * time.Second)
-	c.eventually(n, q, "00000000000000ee", workload.Running, time.Second)
-	if got := c.fleet.RunsOf("00000000000000ee"); got != 2 {
+	c.eventually(n, q, besideServing, workload.Running, time.Second)
+	if got := c.fleet.RunsOf(besideServing); got != 2 {
 		c.t.Errorf("%d serving tasks run beside it at the end, want 2", got)
 	}
 	task := poison + ".0.0.0"
