Tell an instance that crashes under everything from a task that crashes instances

Looked for the same cause elsewhere: the health of an instance, too, counted only the ends it lists, and began anew with each life. An instance that crashes under whatever it is given comes back empty, and a task under which others have crashed prefers an empty one, so it would have gone there again and again and been given up for it. Now a crash counts against the instance like a failed run, over its lives; a task does not return to an instance that has crashed under it while there are others, and crashes of one instance alone decide only at the fourth.

--- a/schedule/book.go
+++ b/schedule/book.go
@@ -48,9 +48,9 @@
 	stalled map[workload.TaskRef]int
 	// wary holds until when tasks that have failed stay away from where they did.
 	wary map[workload.TaskRef]time.Time
-	// crashed holds when an instance last crashed under a task, as far as this owner
-	// has seen; of tasks under which one had crashed before, when it took over.
-	crashed map[workload.TaskRef]time.Time
+	// crashed holds what this owner has seen of the crashes under tasks; of tasks under
+	// which instances had crashed before it took over, at least an empty entry.
+	crashed map[workload.TaskRef]*crashes
 	// abandoned counts the runs of a task that were given up while their instance was
 	// silent, and of which it is not known yet what became.
 	abandoned map[workload.TaskRef]int
@@ -88,7 +88,9 @@
 
 	jobs    map[string]*entry
 	workers map[pointport.IncarnationID]*Worker
-	over    map[string]finished
+	// crashedHealth holds the health of instances that have crashed and are not back.
+	crashedHealth map[pointport.InstanceID]health
+	over          map[string]finished
 
 	learned  *estimates
 	arrivals arrivals
@@ -128,12 +130,13 @@
 func NewBook(now time.Time, s Settings, logger *slog.Logger) *Book {
 	return &Book{
 		settings: s, logger: logger, taken: now,
-		jobs:    make(map[string]*entry),
-		workers: make(map[pointport.IncarnationID]*Worker),
-		over:    make(map[string]finished),
-		learned: newEstimates(),
-		dirty:   make(map[*entry]bool),
-		hungry:  make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
+		jobs:          make(map[string]*entry),
+		crashedHealth: make(map[pointport.InstanceID]health),
+		workers:       make(map[pointport.IncarnationID]*Worker),
+		over:          make(map[string]finished),
+		learned:       newEstimates(),
+		dirty:         make(map[*entry]bool),
+		hungry:        make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
 		gangs: make(map[*gang]struct{}),
 		looks: make(map[*Worker]struct{}), unsentMost: math.MaxInt,
 	}
@@ -174,7 +177,7 @@
 		for n, step := range o.Steps {
 			for i := range step {
 				if step[i].Crashes > 0 {
-					e.noteCrash(workload.TaskRef{K: o.K, Step: n, Index: i}, now)
+					e.crashesOf(workload.TaskRef{K: o.K, Step: n, Index: i}).last = now
 				}
 			}
 		}
@@ -391,6 +394,7 @@
 	if w.inc.Address() == "" {
 		w.free = w.free.Plus(inc.Capacity())
 		b.looks[w] = struct{}{}
+		b.comeBack(w, inc.Instance())
 	}
 	leaving := inc.Draining() && !w.inc.Draining()
 	w.inc = inc
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -58,6 +58,7 @@
 	w.ended = true
 	b.dropAll(w, now, "its incarnation is over")
 	if cause == partingCrashed {
+		b.noteCrashOf(w, now)
 		b.countCrashes(now, w.unproven, nil)
 		b.countCrashes(now, died, w)
 	}
@@ -109,9 +110,11 @@
 	if t == nil || t.Phase == workload.Done || e.ended != "" || e.job.Stopping() {
 		return
 	}
-	e.noteCrash(r.ref, now)
+	seen := e.crashesOf(r.ref)
+	again := seen.on[r.worker.inc.Instance()]
+	seen.note(now, r.worker.inc.Instance())
 	b.touch(e, true)
-	verdict := e.job.Crash(r.ref, alone)
+	verdict := e.job.Crash(r.ref, alone && !again)
 	if verdict == workload.CrashRetried {
 		return
 	}
@@ -142,11 +145,53 @@
 	return now.Sub(r.liveAt)
 }
 
-func (e *entry) noteCrash(ref workload.TaskRef, now time.Time) {
+// crashes is what an owner has seen of the crashes under a task.
+type crashes struct {
+	last time.Time
+	// on holds the instances that have crashed. What happens twice on one of them and
+	// nowhere else is likely its own fault.
+	on map[pointport.InstanceID]bool
+}
+
+func (c *crashes) note(now time.Time, on pointport.InstanceID) {
+	c.last = now
+	if on == "" {
+		return // its registration was never seen
+	}
+	if c.on == nil {
+		c.on = make(map[pointport.InstanceID]bool)
+	}
+	c.on[on] = true
+}
+
+func (e *entry) crashesOf(ref workload.TaskRef) *crashes {
 	if e.crashed == nil {
-		e.crashed = make(map[workload.TaskRef]time.Time)
+		e.crashed = make(map[workload.TaskRef]*crashes)
+	}
+	if e.crashed[ref] == nil {
+		e.crashed[ref] = &crashes{}
+	}
+	return e.crashed[ref]
+}
+
+// noteCrashOf counts a crash against the instance as a failed run would be, so that one
+// that crashes under whatever it is given is avoided in its next life.
+func (b *Book) noteCrashOf(w *Worker, now time.Time) {
+	if w.health.failed(now) {
+		event.SuspectWorker.Log(b.logger, slog.String("incarnation", string(w.inc.ID())),
+			slog.Int("failures", w.health.failures), slog.Duration("avoidedFor", w.health.span))
+	}
+	if id := w.inc.Instance(); id != "" {
+		b.crashedHealth[id] = w.health
+	}
+}
+
+// comeBack gives the next life of an instance that has crashed the health of its last.
+func (b *Book) comeBack(w *Worker, id pointport.InstanceID) {
+	if h, ok := b.crashedHealth[id]; ok {
+		w.health = h
+		delete(b.crashedHealth, id)
 	}
-	e.crashed[ref] = now
 }
 
 // mayAbandon reports whether a task may be given to another instance although it is not
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -314,3 +314,74 @@
 		}
 	})
 }
+
+// An instance that crashes under whatever it is given comes back empty, which is what a
+// task looks for under which others have crashed. It gets that task once.
+func TestTaskDoesNotReturnToTheInstanceThatCrashedUnderIt(t *testing.T) {
+	b := newBook()
+	life := 10
+	bad := func() pointport.Incarnation { return incarnation(life, pointport.WithInstance("m-bad")) }
+	sound := incarnation(1, pointport.WithLabels([]string{"sound"}))
+	hear(b, start, bad())
+	j := job("a", policy, step(1, 500, nil))
+	b.Add(start, j)
+	answer(b, orders(b, start), start)
+	b.EndIncarnation(start, bad().ID())
+	life++
+	b.Add(start, job("serving", policy, step(1, 500, func(s *workload.Step) { s.Service, s.Label = true, "sound" })))
+	hear(b, start, sound, bad())
+	got := orders(b, start)
+	if p := placed(got); p[sound.ID()] != 2 {
+		t.Errorf("starts %v, want the serving task and the other one on the sound instance", p)
+	}
+}
+
+// Where there is only the instance that has crashed under a task, the task goes back to it
+// after a while; crashes there alone do not decide before the fourth.
+func TestCrashesOfOneInstanceDecideLate(t *testing.T) {
+	b := newBook()
+	j := job("a", policy, step(1, 500, nil))
+	b.Add(start, j)
+	now, crashes := start, 0
+	for tick := 0; tick < 1000 && !j.Failed(); tick++ {
+		inc := incarnation(10+crashes, pointport.WithInstance("m-bad"))
+		hear(b, now, inc)
+		all := orders(b, now)
+		answer(b, all, now)
+		if placed(all)[inc.ID()] > 0 {
+			crashes++
+			b.EndIncarnation(now, inc.ID())
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if crashes != 4 || !j.Failed() {
+		t.Errorf("the job has failed: %v after %d crashes of one instance, want that after 4", j.Failed(), crashes)
+	}
+}
+
+// An instance that has crashed twice in a row, whatever ran there, is left alone for a
+// while like one that fails what it starts, over its lives.
+func TestCrashesCountAgainstTheInstance(t *testing.T) {
+	b := newBook()
+	now := start
+	for life := range 2 {
+		hear(b, now, incarnation(life, pointport.WithInstance("m-bad")))
+		b.Add(now, job(fmt.Sprintf("j%d", life), policy, step(1, 500, nil)))
+		all := orders(b, now)
+		if got := placed(all); got[incarnation(life).ID()] == 0 {
+			t.Fatalf("starts %v in life %d, want some", got, life)
+		}
+		answer(b, all, now)
+		now = now.Add(time.Second)
+		b.EndIncarnation(now, incarnation(life).ID())
+	}
+	hear(b, now, incarnation(2, pointport.WithInstance("m-bad")))
+	b.Add(now, job("fresh", policy, step(1, 500, nil)))
+	if got := placed(orders(b, now)); len(got) != 0 {
+		t.Errorf("starts %v right after the second crash, want none", got)
+	}
+	now = now.Add(2100 * time.Millisecond)
+	if got := placed(orders(b, now)); got["i-2"] == 0 {
+		t.Errorf("starts %v 2.1 s later, want some", got)
+	}
+}
--- a/schedule/quarantine.go
+++ b/schedule/quarantine.go
@@ -15,8 +15,8 @@
 	// task that was beside one that crashes instances is there twice now and then.
 	quarantineAfter = 2
 	// quarantineWait is for how long a task waits for an instance of its own, and takes
-	// one with others then: a pool may have none that is empty, and the jobs of such
-	// tasks must go on too. A move brings an instance in 1.5 s.
+	// one with others then, or one that has crashed under it: a pool may have no other,
+	// and the jobs of such tasks must go on too. A move brings an instance in 1.5 s.
 	quarantineWait = 1500 * time.Millisecond
 	// quarantineFor is for how long after its start nothing joins such a task. A task
 	// that asks for more than its instance can give does so as it loads.
@@ -53,15 +53,18 @@
 }
 
 // keptApart reports whether a task may not go to a worker because it, or a task there, is
-// to have an instance of its own.
+// to have an instance of its own, or because this instance has crashed under it.
 func (b *Book) keptApart(t waiting, w *Worker, now time.Time) bool {
 	if w.quarantined > 0 && !w.holdsOnly(t) {
 		return true
 	}
-	if len(t.entry.crashed) == 0 || !t.entry.quarantines(t.ref) {
+	if len(t.entry.crashed) == 0 || now.Sub(t.entry.lastCrash(t.ref)) >= quarantineWait {
 		return false
 	}
-	return now.Sub(t.entry.lastCrash(t.ref)) < quarantineWait && !w.holdsOnly(t)
+	if c := t.entry.crashed[t.ref]; c != nil && c.on[w.inc.Instance()] {
+		return true
+	}
+	return t.entry.quarantines(t.ref) && !w.holdsOnly(t)
 }
 
 // holdsOnly reports whether a worker holds nothing but others of a task's gang.
@@ -74,13 +77,12 @@
 
 // lastCrash returns when an instance last crashed under a task, or another of its gang.
 func (e *entry) lastCrash(ref workload.TaskRef) time.Time {
-	last := e.crashed[ref]
-	if !e.job.Spec().Steps[ref.Step].Gang {
-		return last
-	}
-	for other, at := range e.crashed {
-		if other.K == ref.K && other.Step == ref.Step && at.After(last) {
-			last = at
+	gang := e.job.Spec().Steps[ref.Step].Gang
+	var last time.Time
+	for other, c := range e.crashed {
+		mate := gang && other.K == ref.K && other.Step == ref.Step
+		if (other == ref || mate) && c.last.After(last) {
+			last = c.last
 		}
 	}
 	return last
