--- a/node/trace_test.go
+++ b/node/trace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/testbed"
 	"github.com/pointport/pointport/trace"
 	"github.com/pointport/pointport/workload"
 )
@@ -122,3 +123,21 @@
 			[]string{"job ended", "state=completed"})
 	})
 }
+
+// A job fails because a task of it crashes its instances: the story names each crash, and
+// that the last one hit that task alone.
+func TestTraceGivenUp(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		submit(t, n, q, poison, &workload.Spec{Steps: []workload.Step{{Count: crashTasks, Need: crashRoom, Estimate: 800 * time.Millisecond}}})
+		c.eventually(n, q, poison, workload.Failed, 20*time.Second)
+		c.wantStory(poison,
+			[]string{"task placed", "task=.0.0.0", "run=1"},
+			[]string{"run lost", "task=.0.0.0", "cause=crashed", "crashes=1"},
+			[]string{"run lost", "task=.0.0.0", "cause=crashed", "crashes=2"},
+			[]string{"run lost", "task=.0.0.0", "cause=crashed", "beside=0", "crashes="},
+			[]string{"task given up", "task=.0.0.0", "alone=true", "jobFails=true"},
+			[]string{"job ended", "state=failed"})
+	}, withWork(crashing(func(*testbed.Work) {})))
+}
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -61,6 +61,7 @@
 		b.noteCrashOf(w, now)
 		b.countCrashes(now, w.unproven, nil)
 		b.countCrashes(now, died, w)
+		return
 	}
 	for _, r := range died {
 		b.tellLost(now, r, cause, len(died)-1)
@@ -91,7 +92,7 @@
 func (b *Book) countCrashes(now time.Time, died []*Run, at *Worker) {
 	for _, r := range died {
 		alone := at != nil && at.strays == 0 && len(at.burns) == 0 && allOfGang(died, r)
-		b.countCrash(now, r, alone)
+		b.countCrash(now, r, alone, len(died)-1)
 	}
 }
 
@@ -105,9 +106,12 @@
 	return true
 }
 
-func (b *Book) countCrash(now time.Time, r *Run, alone bool) {
+// countCrash counts the crash of an instance against a task that had a run there, beside
+// so many others.
+func (b *Book) countCrash(now time.Time, r *Run, alone bool, beside int) {
 	e, t := r.entry, r.task()
 	if t == nil || t.Phase == workload.Done || e.ended != "" || e.job.Stopping() {
+		b.tellLost(now, r, partingCrashed, beside)
 		return
 	}
 	seen := e.crashesOf(r.ref)
@@ -115,6 +119,7 @@
 	seen.note(now, r.worker.inc.Instance())
 	b.touch(e, true)
 	verdict := e.job.Crash(r.ref, alone && !again)
+	b.tellLost(now, r, partingCrashed, beside)
 	if verdict == workload.CrashRetried {
 		return
 	}
