Follow what an instance says it holds while it runs

Cause: a worker's room was taken once, from its first registration; later ones replaced the registration and not what is free. A registration that came twice without an address added its room twice.

Change: the difference is added to what is free, which may be below zero; nothing is started there until it fits; a start that waits to be sent is taken back, one that was sent without an answer is ruled out; the steward's supply counts what an instance's owner tells of it.

--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -82,6 +82,15 @@
 	claimed string
 }
 
+// room returns what the machine holds: what its present life says, if its pool's owner has
+// told, or what the platform's list says.
+func (m *machine) room() pointport.Shape {
+	if told := m.load.Capacity; told != (pointport.Shape{}) && m.load.Incarnation == m.life {
+		return told
+	}
+	return m.capacity
+}
+
 // A Planner decides. It is not safe for concurrent use.
 type Planner struct {
 	settings Settings
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -84,7 +84,7 @@
 func (p *Planner) room() pointport.Shape {
 	var sum pointport.Shape
 	for _, m := range p.machines {
-		sum = sum.Plus(m.capacity)
+		sum = sum.Plus(m.room())
 	}
 	return sum
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -131,7 +131,8 @@
 	OwnerLate       = define(539, "owner late", slog.LevelWarn, "What the owner of a pool has to handle waits for it for longer than it should, as lag says; workers, messages that wait, window of starts and time of the last plan say why.", times("lag"))
 	RunLost         = define(540, "run lost", slog.LevelInfo, "A run of a task has died with its instance; cause is that of the instance's end, sinceSeen for how long the run was known to run, beside how many other runs were there, crashes how many instances have crashed under the task.",
 		splits("cause", "crashed", "left", "ordered"), times("sinceSeen"))
-	TaskGivenUp   = define(541, "task given up", slog.LevelWarn, "A task is not started again, because so many instances have crashed under it as crashes says; alone says that nothing else ran on the last one, jobFails whether its job fails with it or goes on without it.")
-	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
-	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+	TaskGivenUp     = define(541, "task given up", slog.LevelWarn, "A task is not started again, because so many instances have crashed under it as crashes says; alone says that nothing else ran on the last one, jobFails whether its job fails with it or goes on without it.")
+	InstanceResized = define(542, "instance resized", slog.LevelInfo, "An instance says that it holds more or less than before, while it runs; free below zero says that nothing is started there until enough has ended.")
+	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
+	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -392,10 +392,10 @@
 func (b *Book) register(now time.Time, inc pointport.Incarnation) {
 	w := b.worker(now, inc.ID())
 	if w.inc.Address() == "" {
-		w.free = w.free.Plus(inc.Capacity())
 		b.looks[w] = struct{}{}
 		b.comeBack(w, inc.Instance())
 	}
+	b.resize(w, inc.Capacity())
 	leaving := inc.Draining() && !w.inc.Draining()
 	w.inc = inc
 	if leaving {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -138,15 +138,27 @@
 }
 
 // Forgo reports whether a start is better not sent, because its instance has fallen
-// silent since the task was placed there. The task waits again: it was never ordered to
-// run, so it need not wait until the instance expires, and on an instance that answers
-// nobody it would end unheard.
+// silent or has shrunk since the task was placed there. A task that was never ordered to
+// run waits again at once: it need not wait until the instance expires, and on one that
+// answers nobody it would end unheard. A start that was sent before without an answer is
+// ruled out first.
 func (b *Book) Forgo(now time.Time, o Order) bool {
-	r := o.Run
-	if o.Kind != OrderStart || !o.Worker.silent || o.Worker.runs[r.name] != r || r.state != runSent || r.unanswered > 0 {
+	r, w := o.Run, o.Worker
+	if o.Kind != OrderStart || w.runs[r.name] != r || r.state != runSent {
+		return false
+	}
+	switch {
+	case r.unanswered > 0 && w.overfull():
+		b.stop(now, r, "its instance has shrunk, and it is not known to run there")
+	case r.unanswered > 0:
+		return false
+	case w.silent:
+		b.drop(now, r, "its instance fell silent before its start was sent")
+	case w.overfull():
+		b.drop(now, r, "its instance shrank before its start was sent")
+	default:
 		return false
 	}
-	b.drop(now, r, "its instance fell silent before its start was sent")
 	b.urgent = true
 	return true
 }
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -78,6 +78,8 @@
 	Known time.Duration `json:"known"`
 	// Avoided says that the instance fails what it is given.
 	Avoided bool `json:"avoided,omitempty"`
+	// Capacity is what the instance says it holds, which may change while it runs.
+	Capacity pointport.Shape `json:"capacity,omitzero"`
 	// Leaving says that the instance is about to end.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -178,7 +180,7 @@
 	return InstanceLoad{
 		Instance: w.inc.Instance(), Incarnation: w.inc.ID(), Runs: len(w.runs), Serving: w.serving,
 		Closed: w.closed(now), Silent: w.silent || !w.life.known(), Avoided: w.health.avoided(now),
-		Leaving: w.inc.Draining(), Known: now.Sub(w.since), Unstored: w.unstored > 0,
+		Leaving: w.inc.Draining(), Capacity: w.inc.Capacity(), Known: now.Sub(w.since), Unstored: w.unstored > 0,
 	}
 }
 
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -21,6 +21,9 @@
 	zone     pointport.ZoneID
 	rack     string
 	capacity pointport.Shape
+	// former is what it held before it last shrank, at shrunk.
+	former   pointport.Shape
+	shrunk   time.Time
 	life     *incarnation // nil while it is off
 	state    pointport.MachineState
 	fails    bool // fails all that it is given
@@ -239,6 +242,20 @@
 	}
 }
 
+// SetCapacity changes what a machine holds while it runs, which its registration tells.
+func (f *Fleet) SetCapacity(id pointport.InstanceID, capacity pointport.Shape) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[id]
+	if m == nil {
+		return
+	}
+	m.former, m.shrunk, m.capacity = m.capacity, f.clock.Now(), capacity
+	if m.life != nil {
+		f.register(f.registration(m), true)
+	}
+}
+
 // IDs returns the machines, sorted.
 func (f *Fleet) IDs() []pointport.InstanceID {
 	f.mu.Lock()
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -177,7 +177,9 @@
 		if i.fleet.guards {
 			return i.reject(pointport.RejectRoom)
 		}
-		i.fleet.violate(now, o.Task, "is started beyond the room of "+string(i.id))
+		if !i.machine.justShrunk(now) || !i.freeOf(i.machine.former).Fits(work.Room) {
+			i.fleet.violate(now, o.Task, "is started beyond the room of "+string(i.id))
+		}
 	}
 	if i.machine.fails {
 		work.Fails = true
@@ -196,9 +198,17 @@
 	return nil
 }
 
+// shrinkTime is for how long starts may still go by what a machine held before it shrank.
+const shrinkTime = 4500 * time.Millisecond
+
+// justShrunk reports whether whoever gives orders need not know yet that the machine holds
+// less than before.
+func (m *Machine) justShrunk(now time.Time) bool { return now.Sub(m.shrunk) < shrinkTime }
+
 // free returns what is left of the capacity. What is being stopped counts.
-func (i *incarnation) free() pointport.Shape {
-	free := i.machine.capacity
+func (i *incarnation) free() pointport.Shape { return i.freeOf(i.machine.capacity) }
+
+func (i *incarnation) freeOf(free pointport.Shape) pointport.Shape {
 	for _, r := range i.runs {
 		free = free.Minus(r.work.Room)
 	}
