Count suspended time in whatever must not be believed for longer than it holds

Cause: every duration was reckoned by the steady clock, which stands still while a machine is suspended. A woken member took jobs by its configuration as if no time had passed, for 1.7 s and more.

Change: pointport.Clock has Steady, a time that goes on meanwhile; clock.Boot takes it from CLOCK_BOOTTIME, read once a second and whenever the time of day leaves the steady clock by 20 ms, so that it costs no system call a reading. Leases, ownerships and what is known of peers go by it. An answer that was asked for before a suspension confirms no configuration; until the next one, callers are told to come back and nothing is taken or refused by the old one. Timers go on by the steady clock: they fire late on waking, and what they start is proved anew first. Events 111 and 112.

--- a/cli/join.go
+++ b/cli/join.go
@@ -112,16 +112,28 @@
 	return min(s.CPU, s.Bandwidth/ownerBandwidth)
 }
 
+// bootClock returns the machine's clock, which counts suspended time and tells the log of it.
+func bootClock(logger *slog.Logger) *clock.Boot {
+	machine, err := clock.NewBoot(clock.OnSuspension(func(s clock.Suspension) {
+		event.Suspended.Log(logger, slog.Duration("lasted", s.Lasted), slog.Duration("steady", s.Steady), slog.Duration("boot", s.Boot))
+	}))
+	if err != nil {
+		event.NoBootTime.Log(logger, slog.Any("error", err))
+	}
+	return machine
+}
+
 // join starts a node on the services that the settings name.
 func join(ctx context.Context, s *platform.Settings, sink *event.Sink) (*node.Node, error) {
 	figures := meter.New(clock.System{})
 	limit := event.NewLimit(slog.NewJSONHandler(sink, nil), clock.System{})
 	logger := slog.New(figures.Events(limit)).With(slog.String("node", s.Name))
 	guard := heap.Start(ctx, clock.System{}, s.MemoryBytes, logger)
+	machine := bootClock(logger)
 	services := node.Services{
 		KV:       figures.KV(platform.NewStore(s.Store, platform.WithReceived(figures.FromStore))),
 		Executor: figures.Executor(platform.NewExecutor()),
-		Clock:    clock.System{},
+		Clock:    machine,
 		Config: node.Source[*workload.Catalog]{
 			Prefix: platform.ConfigKey,
 			Decode: func(e pointport.Entry) (*workload.Catalog, error) { return platform.DecodeConfig(e.Value()) },
--- /dev/null
+++ b/clock/boot.go
@@ -0,0 +1,126 @@
+package clock
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the clock of a machine that may be suspended. The clock by which Go
+// reckons durations and timers stands still meanwhile; the kernel's boot time does not.
+
+const (
+	// checkEvery is how often the boot time is read when nothing tells of a suspension.
+	// The clock of Go costs no system call and this one does.
+	checkEvery = time.Second
+	// stepBound is by how much the time of day must have left the steady clock for the
+	// boot time to be read at once: a suspension moves it by its whole length, and
+	// corrections of a clock in use are at most half a millisecond in a second.
+	stepBound = 20 * time.Millisecond
+	// readBound is by how much two readings made one after the other may differ.
+	readBound = 5 * time.Millisecond
+	// toldBound is how long a suspension must be to be told of; shorter ones count too.
+	toldBound = 100 * time.Millisecond
+)
+
+// A Suspension is a time for which the machine stood still.
+type Suspension struct {
+	// Steady is how long the steady clock has counted since the process began, Boot how
+	// long it was, Lasted for how much of the difference this suspension stands.
+	Steady, Boot, Lasted time.Duration
+}
+
+// Boot is the machine's clock, and counts suspended time where it says so. It is safe for
+// concurrent use.
+type Boot struct {
+	System
+	start  time.Time     // of the process, with its steady reading
+	origin time.Duration // the boot time then
+	boot   func() (time.Duration, error)
+	tell   func(Suspension)
+
+	mu        sync.Mutex
+	checked   time.Duration // when the boot time was last read, since start
+	ahead     time.Duration // of the time of day before the steady clock then
+	suspended time.Duration // since start
+}
+
+var _ pointport.Clock = (*Boot)(nil)
+
+// A BootOption changes a Boot.
+type BootOption func(*Boot)
+
+// OnSuspension sets a function that is told of each suspension of a tenth of a second or
+// more, by whoever asks for the time first after it.
+func OnSuspension(tell func(Suspension)) BootOption { return func(b *Boot) { b.tell = tell } }
+
+// WithBootTime sets how the boot time is read.
+func WithBootTime(read func() (time.Duration, error)) BootOption {
+	return func(b *Boot) { b.boot = read }
+}
+
+// NewBoot returns the machine's clock. Where the boot time cannot be read it returns the
+// error with a clock that counts no suspended time: what rests on it is then as good as
+// the steady clock, which a suspended machine must not be used with.
+func NewBoot(options ...BootOption) (*Boot, error) {
+	b := &Boot{start: time.Now(), boot: readBoot, tell: func(Suspension) {}}
+	for _, o := range options {
+		o(b)
+	}
+	origin, err := b.boot()
+	if err != nil {
+		b.boot = nil
+		return b, fmt.Errorf("boot time: %w", err)
+	}
+	b.origin = origin
+	return b, nil
+}
+
+func readBoot() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, err
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// Steady returns a time that has gone on while the machine was suspended.
+func (b *Boot) Steady() time.Time {
+	now := time.Now()
+	suspended, told := b.measure(now)
+	if told != nil {
+		b.tell(*told)
+	}
+	return now.Add(suspended)
+}
+
+// measure returns for how long the machine has been suspended since the process began,
+// and what is to be told of it.
+func (b *Boot) measure(now time.Time) (time.Duration, *Suspension) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	steady := now.Sub(b.start)
+	ahead := now.Round(0).Sub(b.start.Round(0)) - steady
+	moved := (ahead - b.ahead).Abs() > stepBound
+	if b.boot == nil || !moved && steady-b.checked < checkEvery {
+		return b.suspended, nil
+	}
+	boot, err := b.boot()
+	if err != nil {
+		return b.suspended, nil // it could be read before: what was counted stands
+	}
+	b.checked, b.ahead = steady, ahead
+	lasted := boot - b.origin - steady - b.suspended
+	if lasted < readBound {
+		return b.suspended, nil
+	}
+	b.suspended += lasted
+	if lasted < toldBound {
+		return b.suspended, nil
+	}
+	return b.suspended, &Suspension{Steady: steady, Boot: boot - b.origin, Lasted: lasted}
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock implements pointport.Clock: System by the machine's clock, and
-// Fake by a clock that moves only when it is told to.
+// Package clock implements pointport.Clock: System by the machine's clock, Boot by that of
+// a machine that may be suspended, and Fake by a clock that moves only when it is told to.
 package clock
 
 import (
@@ -17,6 +17,9 @@
 // Now returns the machine's time.
 func (System) Now() time.Time { return time.Now() }
 
+// Steady returns the machine's time. It counts no suspended time: Boot does.
+func (System) Steady() time.Time { return time.Now() }
+
 // After returns a channel that receives the time once, d from now.
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
@@ -25,6 +28,8 @@
 	mu     sync.Mutex
 	now    time.Time
 	alarms []alarm
+	// suspended is how much more Steady has counted.
+	suspended time.Duration
 }
 
 type alarm struct {
@@ -44,6 +49,20 @@
 	return f.now
 }
 
+// Steady returns the time that the clock shows, and what Suspend has added.
+func (f *Fake) Steady() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now.Add(f.suspended)
+}
+
+// Suspend lets a time pass that only Steady counts.
+func (f *Fake) Suspend(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspended += d
+}
+
 // After returns a channel that receives the time once the clock has been
 // advanced by d.
 func (f *Fake) After(d time.Duration) <-chan time.Time {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -17,6 +17,8 @@
 	ReadyChanged = define(108, "readiness changed", slog.LevelInfo, "The process tells the balancer from now on whether it takes connections, as ready says; version, store and leaving say why.")
 	MemoryNear   = define(109, "near its memory", slog.LevelWarn, "The process takes four fifths of its memory or more, in bytes; it takes no new jobs while a peer can. live says how much of that is in use.")
 	MemoryClear  = define(110, "memory clear", slog.LevelInfo, "The process is no longer near the limit of its memory and takes jobs again.")
+	Suspended    = define(111, "suspended", slog.LevelWarn, "The machine was suspended: its steady clock has counted as much less than the boot time as lasted says. Leases, ownerships and the configuration are made sure of anew before they are relied on.", times("lasted"))
+	NoBootTime   = define(112, "no boot time", slog.LevelError, "The boot time cannot be read, so a suspension of the machine would go unnoticed; do not suspend it.")
 	Failed       = define(104, "failed", slog.LevelError, "A part of the process ended on an error.")
 )
 
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -230,12 +230,11 @@
 	ttl := k.session.TTL()
 	reserve := max(ttl/proofShare, ttl/(2*proofShare)+2*k.took)
 	from := k.clock.Now()
-	if left := own.left(from); left > reserve {
+	if left := own.left(); left > reserve {
 		return min(left-reserve, keeperTick)
 	}
 	err := k.roster.Check(ctx, own)
-	now := k.clock.Now()
-	k.took = now.Sub(from)
+	k.took = k.clock.Now().Sub(from)
 	switch {
 	case errors.Is(err, ErrLost):
 		t.Stop()
@@ -245,7 +244,7 @@
 		event.PoolUnproven.Log(k.logger, slog.String("pool", own.Pool), slog.Any("error", err))
 		return rankPause
 	}
-	return min(max(own.left(now)-reserve, 0), keeperTick)
+	return min(max(own.left()-reserve, 0), keeperTick)
 }
 
 func (k *Keeper[T]) take(ctx context.Context, pool string) time.Duration {
--- a/member/keeper_test.go
+++ b/member/keeper_test.go
@@ -57,7 +57,7 @@
 				for range samples {
 					time.Sleep(10 * time.Millisecond)
 					for _, pool := range pools() {
-						if own, ok := k.Tenant(pool); !ok || !own.Ownership().Proven(time.Now()) {
+						if own, ok := k.Tenant(pool); !ok || !own.Ownership().Proven() {
 							unproven++
 						}
 					}
--- a/member/key.go
+++ b/member/key.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/pointport/pointport"
+	clocks "github.com/pointport/pointport/clock"
 )
 
 // This file defines how a single key is followed whose value may be large beside the
@@ -40,7 +42,11 @@
 	f := &keyFollower{kv: kv, clock: clock, key: key, take: take, heard: heard}
 	retry := retryFirst
 	for ctx.Err() == nil {
+		asked := clocks.NewInterval(clock)
 		err := f.step(ctx)
+		if lasted := asked.Suspended(); err == nil && lasted > 0 {
+			err = &SuspendedError{Lasted: lasted}
+		}
 		f.heard(err)
 		if err == nil {
 			retry = retryFirst
@@ -52,6 +58,14 @@
 	}
 }
 
+// A SuspendedError says that an answer is not news, because the machine was suspended after
+// it was asked for.
+type SuspendedError struct{ Lasted time.Duration }
+
+func (e *SuspendedError) Error() string {
+	return fmt.Sprintf("the machine was suspended for %v meanwhile", e.Lasted)
+}
+
 // step asks the store one question.
 func (f *keyFollower) step(ctx context.Context) error {
 	if f.checked.IsZero() || f.clock.Now().Sub(f.checked) >= DefaultRecheck {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -60,12 +60,12 @@
 		if _, err := b.roster.Take(ctx, "p"); !errors.As(err, &conflict) {
 			t.Errorf("second owner: %v, want a conflict", err)
 		}
-		if !first.Proven(time.Now()) {
+		if !first.Proven() {
 			t.Error("a fresh ownership is not proven")
 		}
 		a.end()
 		time.Sleep(member.DefaultTTL + time.Second)
-		if first.Proven(time.Now()) {
+		if first.Proven() {
 			t.Error("an ownership is proven after its lease")
 		}
 		second, err := b.roster.Take(ctx, "p")
--- a/member/roster.go
+++ b/member/roster.go
@@ -50,21 +50,18 @@
 
 // A proof says until when an ownership has surely not been lost. A key may be
 // taken away although the lease that it goes with lives on, so a renewed lease
-// alone proves nothing.
+// alone proves nothing. Its times are steady ones.
 type proof struct {
+	clock pointport.Clock
 	ttl   time.Duration // for how long a call that saw the key proves it
 	mu    sync.Mutex
 	until time.Time
 }
 
-// Proven reports whether the ownership has surely not been lost at now.
-func (o Ownership) Proven(now time.Time) bool {
-	o.proof.mu.Lock()
-	defer o.proof.mu.Unlock()
-	return now.Before(o.proof.until)
-}
+// Proven reports whether the ownership has surely not been lost.
+func (o Ownership) Proven() bool { return o.left() > 0 }
 
-// prove takes in that the owner key was seen by a call made at from.
+// prove takes in that the owner key was seen by a call made at the steady time from.
 func (o Ownership) prove(from time.Time) {
 	o.proof.mu.Lock()
 	defer o.proof.mu.Unlock()
@@ -74,7 +71,8 @@
 }
 
 // left returns for how long the ownership is proven from now on.
-func (o Ownership) left(now time.Time) time.Duration {
+func (o Ownership) left() time.Duration {
+	now := o.proof.clock.Steady()
 	o.proof.mu.Lock()
 	defer o.proof.mu.Unlock()
 	return o.proof.until.Sub(now)
@@ -86,7 +84,7 @@
 // Check reads the owner key, so that Proven holds for longer. It fails with
 // ErrLost if the ownership is lost.
 func (r *Roster) Check(ctx context.Context, own Ownership) error {
-	from := r.clock.Now()
+	from := r.clock.Steady()
 	e, err := r.kv.Get(ctx, OwnerKey(own.Pool))
 	if err != nil {
 		return err
@@ -108,9 +106,9 @@
 	}
 }
 
-// own returns an ownership that was seen by a call made at from.
+// own returns an ownership that was seen by a call made at the steady time from.
 func (r *Roster) own(pool string, fence pointport.Fence, revision pointport.Revision, from time.Time) Ownership {
-	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{ttl: r.session.TTL()}}
+	o := Ownership{Pool: pool, Fence: fence, Revision: revision, proof: &proof{clock: r.clock, ttl: r.session.TTL()}}
 	o.prove(from)
 	return o
 }
@@ -471,7 +469,7 @@
 		return Ownership{}, err
 	}
 	key := OwnerKey(pool)
-	from := r.clock.Now()
+	from := r.clock.Steady()
 	revision, err := r.kv.Commit(ctx, pointport.Txn{
 		If:  []pointport.Condition{{Key: key}},
 		Put: []pointport.Put{{Key: key, Value: value, Lease: lease}},
@@ -499,7 +497,7 @@
 	if !errors.As(cause, &unavailable) || !unavailable.Ambiguous {
 		return Ownership{}, cause
 	}
-	from := r.clock.Now()
+	from := r.clock.Steady()
 	e, err := r.kv.Get(ctx, OwnerKey(pool))
 	if err != nil {
 		return Ownership{}, errors.Join(cause, err)
--- a/member/session.go
+++ b/member/session.go
@@ -12,7 +12,9 @@
 //   - A pool has at most one owner key, and its revision of creation is the
 //     owner's fence: it only rises, and no two owners share one.
 //   - Proven is true only while the lease cannot have ended by this process's
-//     own clock, counted from before the call that renewed it.
+//     own clock, counted from before the call that renewed it, and with the time for
+//     which its machine was suspended. Without that, a steward that woke up after 8 s
+//     gave an order with a lower fence than the machine had seen.
 package member
 
 import (
@@ -51,7 +53,7 @@
 	lease   pointport.LeaseID
 	granted time.Time // when the lease was granted
 	first   bool      // whether it is this process's first
-	proven  time.Time // until when the lease has surely not ended
+	proven  time.Time // until when, by the steady time, the lease has surely not ended
 	// renewed is closed and replaced when a new lease was granted.
 	renewed chan struct{}
 	cut     bool
@@ -102,7 +104,7 @@
 
 // keep renews the lease, or has a new one granted.
 func (s *Session) keep(ctx context.Context) error {
-	from := s.clock.Now()
+	from := s.clock.Steady()
 	lease := s.Lease()
 	if lease == 0 {
 		return s.grant(ctx, from)
@@ -112,7 +114,7 @@
 	if errors.As(err, &ended) {
 		event.LeaseEnded.Log(s.logger, slog.Int64("lease", int64(lease)))
 		s.drop(lease)
-		return s.grant(ctx, s.clock.Now())
+		return s.grant(ctx, s.clock.Steady())
 	}
 	if err != nil {
 		return err
@@ -159,7 +161,7 @@
 func (s *Session) Proven() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.clock.Now().Before(s.proven)
+	return s.clock.Steady().Before(s.proven)
 }
 
 const (
--- a/member/writer.go
+++ b/member/writer.go
@@ -95,7 +95,7 @@
 func (w *Writer) settle(ctx context.Context) error {
 	retry := writeRetryFirst
 	for {
-		from := w.clock.Now()
+		from := w.clock.Steady()
 		revision, err := w.kv.Commit(ctx, *w.unsure)
 		if err == nil {
 			w.own.prove(from)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -46,6 +46,7 @@
 	// Holds who is cut off from what; guarded by mu.
 	mu        sync.Mutex
 	storeFate func(node, op string) memory.Fault
+	onStore   func(node, op, key string) // sees each call to the store as it is carried out
 	network   testbed.Network
 	peersCut  map[string]bool
 	silent    bool // whether questions between nodes get no answer
@@ -63,6 +64,7 @@
 type running struct {
 	node   *node.Node
 	cancel context.CancelFunc
+	clock  *machineClock
 }
 
 // logs keeps what the nodes log, for a test that fails.
@@ -211,6 +213,9 @@
 	c.mu.Lock()
 	to, cut, silent := c.nodes[name], c.peersCut[name], c.silent
 	c.mu.Unlock()
+	if to != nil && !to.clock.gateUntil(r.Context().Done()) {
+		return nil, r.Context().Err()
+	}
 	if silent {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
@@ -268,25 +273,31 @@
 func (c *cluster) start(name string) *node.Node {
 	c.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	inject := func(op, _ string) memory.Fault {
+	machine := &machineClock{}
+	inject := func(op, key string) memory.Fault {
+		machine.gate()
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if c.onStore != nil {
+			c.onStore(name, op, key)
+		}
 		return c.storeFate(name, op)
 	}
 	network := func(op string, to pointport.InstanceID) testbed.Fate {
+		machine.gate()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return c.network(name+" "+op, to)
 	}
 	services := node.Services{
 		KV:       c.store.KV(memory.WithFaults(inject), memory.WithLatency(c.latency)),
-		Executor: c.fleet.Executor(network), Clock: clock.System{},
+		Executor: c.fleet.Executor(network), Clock: machine,
 		Config: node.Source[*workload.Catalog]{Prefix: configKey, Decode: func(e pointport.Entry) (*workload.Catalog, error) {
 			var k workload.Catalog
 			return &k, json.Unmarshal(e.Value(), &k)
 		}},
 		Registrations: node.Source[pointport.Incarnation]{Prefix: registrationPrefix, Decode: decodeRegistration},
-		Machines:      c.fleet.Machines(holderTime),
+		Machines:      &gatedMachines{c.fleet.Machines(holderTime), machine},
 		Waves: node.WaveSource{
 			Source: node.Source[capacity.Wave]{Prefix: wavePrefix, Decode: func(e pointport.Entry) (capacity.Wave, error) {
 				var w capacity.Wave
@@ -317,7 +328,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nodes[name] = &running{n, cancel}
+	c.nodes[name] = &running{n, cancel, machine}
 	return n
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	clocks "github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/steward"
@@ -41,13 +42,13 @@
 	current atomic.Pointer[workload.Catalog]
 
 	mu        sync.Mutex
-	confirmed time.Time // when the version in force was last known to be the newest
-	late      bool      // whether the log says that it is not known
+	confirmed clocks.Interval // since the version in force was last known to be the newest
+	late      bool            // whether the log says that it is not known
 }
 
 // startConfigs follows the configuration until ctx ends.
 func startConfigs(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[*workload.Catalog], logger *slog.Logger) *configs {
-	c := &configs{source: source, clock: clock, logger: logger, confirmed: clock.Now()}
+	c := &configs{source: source, clock: clock, logger: logger, confirmed: clocks.NewInterval(clock)}
 	go member.FollowKey(ctx, kv, clock, source.Prefix, c.take, c.heard)
 	return c
 }
@@ -55,10 +56,9 @@
 // heard takes in whether the newest version is known, and logs once when that is lost
 // and once when it is regained.
 func (c *configs) heard(err error) {
-	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := now.Sub(c.confirmed)
+	age := c.confirmed.Age()
 	switch {
 	case err == nil && c.late:
 		event.ConfigConfirmed.Log(c.logger, slog.Int64("version", c.version()), slog.Duration("after", age))
@@ -69,7 +69,7 @@
 	}
 	c.late = err != nil
 	if err == nil {
-		c.confirmed = now
+		c.confirmed = clocks.NewInterval(c.clock)
 	}
 }
 
@@ -77,7 +77,7 @@
 func (c *configs) age() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.Now().Sub(c.confirmed)
+	return c.confirmed.Age()
 }
 
 // version returns the version in force, zero while there is none.
@@ -109,6 +109,20 @@
 // Catalog returns the configuration in force, nil while there is none.
 func (c *configs) Catalog() *workload.Catalog { return c.current.Load() }
 
+// Trusted returns the configuration in force, nil while there is none or it is not known
+// to be the newest because the machine was suspended since that was last made sure of.
+// While the store is away the last one is used on; but a woken member would go on as if
+// no time had passed, and take jobs for queues that are gone for long.
+func (c *configs) Trusted() *workload.Catalog {
+	c.mu.Lock()
+	suspended := c.confirmed.Suspended()
+	c.mu.Unlock()
+	if suspended > 0 {
+		return nil
+	}
+	return c.Catalog()
+}
+
 // workPools returns the pools that need an owner.
 func (c *configs) workPools() []string {
 	if k := c.Catalog(); k != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -246,7 +246,7 @@
 func (n *Node) Desk() *intake.Desk { return n.desk }
 
 // Catalog returns the configuration in force, nil while there is none.
-func (n *Node) Catalog() *workload.Catalog { return n.configs.Catalog() }
+func (n *Node) Catalog() *workload.Catalog { return n.configs.Trusted() }
 
 // PeerHandler answers the questions of peers and carries out orders for them.
 func (n *Node) PeerHandler() http.Handler {
@@ -267,7 +267,7 @@
 
 // Ready reports whether the node should get new connections.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.configs.Catalog() != nil && n.session.Proven()
+	return !n.leaving.Load() && n.configs.Trusted() != nil && n.session.Proven()
 }
 
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
--- a/peer/keep.go
+++ b/peer/keep.go
@@ -54,13 +54,13 @@
 func (r *recent) add(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.until[name] = r.clock.Now().Add(keepRest)
+	r.until[name] = r.clock.Steady().Add(keepRest)
 }
 
 func (r *recent) has(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clock.Now().Before(r.until[name])
+	return r.clock.Steady().Before(r.until[name])
 }
 
 // Keep has a peer store a job and returns the peer's name. Which is asked first depends
--- a/shard/look.go
+++ b/shard/look.go
@@ -18,7 +18,7 @@
 
 // lookAround looks at every worker that is not being looked at.
 func (o *Owner) lookAround(ctx context.Context, now time.Time) {
-	if !o.own.Proven(now) {
+	if !o.own.Proven() {
 		return
 	}
 	for _, w := range o.book.TakeLooks() {
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -128,7 +128,7 @@
 				o.startAnswered(now, answered.Sub(sent), err)
 			}
 			o.book.Answered(order, now, clock, err)
-			if o.own.Proven(now) {
+			if o.own.Proven() {
 				o.pump(ctx, l)
 				o.pumpHeld(ctx)
 			}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -257,7 +257,7 @@
 		return o.turnGap - since
 	}
 	o.planned = now
-	if o.own.Proven(now) {
+	if o.own.Proven() {
 		o.book.LimitUnsent(o.unsentMost())
 		o.book.Plan(now)
 		cost := o.clock.Now().Sub(now)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -187,7 +187,7 @@
 	s.list(ctx)
 	now := s.services.Clock.Now()
 	s.takeWaves(ctx, now)
-	if s.listed.IsZero() || !s.own.Proven(now) {
+	if s.listed.IsZero() || !s.own.Proven() {
 		return roundEvery
 	}
 	if err := s.open(ctx); err != nil {
@@ -300,7 +300,7 @@
 	journaled := s.write(ctx, func(ctx context.Context) error {
 		return s.journal.add(ctx, s.services.Clock.Now(), orders)
 	})
-	if !journaled || !s.own.Proven(s.services.Clock.Now()) {
+	if !journaled || !s.own.Proven() {
 		// Either it is not known whether they are in the journal, or the write took
 		// too long to count on what was surveyed and on the key.
 		for _, o := range orders {
