Refuse stored jobs and roster keys that cannot be, alike at every member

Stored jobs are checked like submitted ones, progress against its job, and the occurrences under way are bounded by four times the tasks of the widest job. A key of the roster that cannot be read names nobody and is logged once a revision; before, members that had followed it went on to believe what it replaced. A taken identity whose record cannot be read is logged.

--- a/intake/submit.go
+++ b/intake/submit.go
@@ -134,7 +134,7 @@
 		}
 		var conflict *pointport.TxnConflictError
 		if errors.As(err, &conflict) {
-			return found(id, conflict), nil
+			return d.found(id, conflict), nil
 		}
 		var unavailable *pointport.UnavailableError
 		ambiguous := !errors.As(err, &unavailable) || unavailable.Ambiguous
@@ -154,12 +154,16 @@
 }
 
 // found says how an identity stands that was taken already.
-func found(id string, conflict *pointport.TxnConflictError) keeping {
+func (d *Desk) found(id string, conflict *pointport.TxnConflictError) keeping {
 	for _, e := range conflict.Entries {
 		if e.Key() != workload.RecordKey(id) {
 			continue
 		}
 		record, err := workload.DecodeRecord(id, e.Value())
+		if err != nil {
+			// Whoever took the identity, no job is begun under it again.
+			event.JobUnreadable.Log(d.logger, slog.String("job", id), slog.Int64("revision", int64(e.Revision())), slog.Any("error", err))
+		}
 		return keeping{at: e.Created(), before: true, open: err == nil && record.Ended == ""}
 	}
 	return keeping{before: true}
--- a/member/roster.go
+++ b/member/roster.go
@@ -131,7 +131,9 @@
 	members map[string]Member
 	owners  map[string]owner
 	former  map[string]string // by pool, the name of the owner that was seen last
-	taking  int               // pools that this member is about to take
+	// refused holds the revisions of keys that cannot be read.
+	refused map[string]pointport.Revision
+	taking  int // pools that this member is about to take
 	known   bool
 	gave    time.Time     // when this member last gave a pool away
 	left    bool          // this member is no peer any more
@@ -143,7 +145,8 @@
 func StartRoster(ctx context.Context, kv pointport.KV, clock pointport.Clock, session *Session, self Member, logger *slog.Logger) *Roster {
 	r := &Roster{
 		kv: kv, clock: clock, session: session, self: self, logger: logger,
-		members: make(map[string]Member), owners: make(map[string]owner), former: make(map[string]string), changed: make(chan struct{}),
+		members: make(map[string]Member), owners: make(map[string]owner), former: make(map[string]string),
+		refused: make(map[string]pointport.Revision), changed: make(chan struct{}),
 	}
 	go Follow(ctx, kv, clock, rosterPrefix, r.reset, r.apply, WakeOn(session.Back))
 	go func() {
@@ -228,13 +231,13 @@
 func (r *Roster) take(e pointport.Entry) {
 	var m Member
 	if e.Exists() {
-		if err := json.Unmarshal(e.Value(), &m); err != nil {
-			event.RosterUnreadable.Log(r.logger, slog.String("key", e.Key()), slog.Any("error", err))
-			return
+		if err := decodeMember(e, &m); err != nil {
+			r.refuse(e, err)
+			m = Member{}
 		}
 	}
 	if name, ok := strings.CutPrefix(e.Key(), memberPrefix); ok {
-		if e.Exists() {
+		if e.Exists() && m.Name != "" {
 			r.members[name] = m
 		} else {
 			delete(r.members, name)
@@ -253,6 +256,31 @@
 	}
 }
 
+// decodeMember decodes who a key of the roster names. One that names nobody is an error.
+func decodeMember(e pointport.Entry, m *Member) error {
+	if err := json.Unmarshal(e.Value(), m); err != nil {
+		return err
+	}
+	if m.Name == "" {
+		return errors.New("name is missing")
+	}
+	if name, ok := strings.CutPrefix(e.Key(), memberPrefix); ok && name != m.Name {
+		return fmt.Errorf("name is %.64q: must be the one in the key", m.Name)
+	}
+	return nil
+}
+
+// refuse notes a key that cannot be read, and logs it once for each revision. A member's
+// key names nobody then. An owner's key is still held, by nobody that is known, so that no
+// two members differ on whether the pool is free.
+func (r *Roster) refuse(e pointport.Entry, err error) {
+	if r.refused[e.Key()] == e.Revision() {
+		return
+	}
+	r.refused[e.Key()] = e.Revision()
+	event.RosterUnreadable.Log(r.logger, slog.String("key", e.Key()), slog.Int64("revision", int64(e.Revision())), slog.Any("error", err))
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Roster) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/workload/codec.go
+++ b/workload/codec.go
@@ -36,6 +36,10 @@
 	if d.Spec == nil {
 		return nil, fmt.Errorf("stored job %s has no steps", id)
 	}
+	if err := d.Spec.Check(); err != nil {
+		// Each owner in turn would run out of memory for a step of a billion tasks.
+		return nil, fmt.Errorf("stored job %s: %w", id, err)
+	}
 	return New(id, d.Queue, d.Policy, d.Spec, d.Submitted), nil
 }
 
@@ -113,6 +117,19 @@
 	return nil
 }
 
+// wrong says what no task can be, empty if it can.
+func (t taskDoc) wrong() string {
+	switch {
+	case t.Phase > GivenUp:
+		return "has no such phase"
+	case t.Run < 0 || t.Failures < 0:
+		return "counts must not be below zero"
+	case t.Phase == Placed && (t.On == "" || t.Run == 0):
+		return "is placed nowhere"
+	}
+	return ""
+}
+
 // EncodeProgress returns the stored form of the job's progress. It is written
 // many times for each job, so it is put together by hand; RestoreProgress reads
 // it as JSON.
@@ -190,28 +207,49 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return fmt.Errorf("stored progress of job %s: %w", j.id, err)
 	}
-	j.cancelled, j.failed, j.next, j.over = d.Cancelled, d.Failed, d.Next, d.Over
-	j.occurrences = make(map[int]*Occurrence)
+	if d.Next < 0 || d.Next > j.spec.Occurrences() || d.Over < 0 || d.Over+len(d.Occurrences) != d.Next {
+		return &ProgressError{Job: j.id, Field: "n", Value: d.Next, Reason: fmt.Sprintf("of %d occurrences, %d over and %d under way", j.spec.Occurrences(), d.Over, len(d.Occurrences))}
+	}
+	occurrences := make(map[int]*Occurrence, len(d.Occurrences))
 	for _, doc := range d.Occurrences {
+		if doc.K < 0 || doc.K >= d.Next || occurrences[doc.K] != nil {
+			return &ProgressError{Job: j.id, Field: "k", Value: doc.K, Reason: "must have begun, and stand there once"}
+		}
 		o, err := j.restore(doc)
 		if err != nil {
 			return err
 		}
-		j.occurrences[doc.K] = o
+		occurrences[doc.K] = o
 	}
+	j.cancelled, j.failed, j.next, j.over, j.occurrences = d.Cancelled, d.Failed, d.Next, d.Over, occurrences
 	return nil
 }
 
+// A ProgressError says what of a job's stored progress does not fit the job.
+type ProgressError struct {
+	Job    string
+	Field  string // as it is stored, such as s[2][7]
+	Value  any
+	Reason string
+}
+
+func (e *ProgressError) Error() string {
+	return fmt.Sprintf("stored progress of job %s: %s is %v: %s", e.Job, e.Field, e.Value, e.Reason)
+}
+
 func (j *Job) restore(doc occurrenceDoc) (*Occurrence, error) {
 	o := newOccurrence(doc.K, j.spec)
 	if len(doc.Steps) != len(o.Steps) {
-		return nil, fmt.Errorf("stored progress of job %s has %d steps, want %d", j.id, len(doc.Steps), len(o.Steps))
+		return nil, &ProgressError{Job: j.id, Field: "s", Value: len(doc.Steps), Reason: fmt.Sprintf("must have %d steps", len(o.Steps))}
 	}
 	for n, row := range doc.Steps {
 		if len(row) != len(o.Steps[n]) {
-			return nil, fmt.Errorf("stored progress of job %s step %d has %d tasks, want %d", j.id, n, len(row), len(o.Steps[n]))
+			return nil, &ProgressError{Job: j.id, Field: fmt.Sprintf("s[%d]", n), Value: len(row), Reason: fmt.Sprintf("must have %d tasks", len(o.Steps[n]))}
 		}
 		for i := range row {
+			if reason := row[i].wrong(); reason != "" {
+				return nil, &ProgressError{Job: j.id, Field: fmt.Sprintf("s[%d][%d]", n, i), Value: row[i].Task, Reason: reason}
+			}
 			o.Steps[n][i] = row[i].Task
 			if row[i].Phase == Done {
 				o.left[n]--
@@ -220,8 +258,8 @@
 	}
 	for _, c := range doc.Crashes {
 		step, index, crashes := c[0], c[1], c[2]
-		if step < 0 || step >= len(o.Steps) || index < 0 || index >= len(o.Steps[step]) {
-			return nil, fmt.Errorf("stored progress of job %s counts crashes of task %d of step %d, which it does not have", j.id, index, step)
+		if step < 0 || step >= len(o.Steps) || index < 0 || index >= len(o.Steps[step]) || crashes < 0 {
+			return nil, &ProgressError{Job: j.id, Field: "x", Value: c, Reason: "must be a task that it has, and not a number below zero"}
 		}
 		o.Steps[step][index].Crashes = crashes
 	}
--- a/workload/job.go
+++ b/workload/job.go
@@ -112,11 +112,22 @@
 // Stopping reports whether no task of the job may start any more.
 func (j *Job) Stopping() bool { return j.cancelled || j.failed }
 
+// mostOpenTasks bounds the tasks of the occurrences of a job that are under way at once;
+// the next one begins when an earlier one is over. It is four times what one occurrence
+// may have. A job that repeats a thousand million times without a pause would fill the
+// memory of its owner, and of the next one, before its first task has run.
+const mostOpenTasks = 4 * MaxTasks
+
+// full reports whether no further occurrence may begin.
+func (j *Job) full() bool {
+	return len(j.occurrences) > 0 && (len(j.occurrences)+1)*j.spec.tasks() > mostOpenTasks
+}
+
 // Begin makes the tasks of the occurrences that are due by now. It reports
 // whether there were any.
 func (j *Job) Begin(now time.Time) bool {
 	begun := false
-	for j.next < j.spec.Occurrences() && !j.Stopping() {
+	for j.next < j.spec.Occurrences() && !j.Stopping() && !j.full() {
 		if due := j.spec.Due(j.next); due.After(now) {
 			break
 		}
@@ -129,7 +140,7 @@
 
 // NextDue returns when the next occurrence is due; false if there is none.
 func (j *Job) NextDue() (time.Time, bool) {
-	if j.next >= j.spec.Occurrences() || j.Stopping() {
+	if j.next >= j.spec.Occurrences() || j.Stopping() || j.full() {
 		return time.Time{}, false
 	}
 	return j.spec.Due(j.next), true
--- a/workload/spec.go
+++ b/workload/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -111,6 +112,17 @@
 	return s.Recur.First.Add(time.Duration(k) * s.Recur.Every)
 }
 
+// tasks returns how many tasks an occurrence has, at most a little more than MaxTasks.
+func (s *Spec) tasks() int {
+	n := 0
+	for i := range s.Steps {
+		if n += s.Steps[i].Count; n > MaxTasks {
+			return n
+		}
+	}
+	return n
+}
+
 // Lasts reports whether the job runs until it is cancelled.
 func (s *Spec) Lasts() bool {
 	for n := range s.Steps {
@@ -144,14 +156,15 @@
 	if s.Recur.Every < 0 {
 		return &SpecError{"recur.every", s.Recur.Every, "must not be negative"}
 	}
-	tasks := 0
+	if s.Recur.Every > 0 && s.Recur.Times > int(math.MaxInt64/s.Recur.Every) {
+		return &SpecError{"recur.times", s.Recur.Times, "the last time is beyond all dates"}
+	}
 	for n := range s.Steps {
 		if err := s.Steps[n].check(n); err != nil {
 			return err
 		}
-		tasks += s.Steps[n].Count
 	}
-	if tasks > MaxTasks {
+	if tasks := s.tasks(); tasks > MaxTasks {
 		return &SpecError{"steps", tasks, fmt.Sprintf("have more than %d tasks", MaxTasks)}
 	}
 	return nil
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -244,3 +244,112 @@
 		}
 	}
 }
+
+// A stored job that no customer could have submitted is refused: an owner that took it in
+// would run out of memory or order nonsense, and so would each of its successors.
+func TestStoredJobsThatCannotBeAreRefused(t *testing.T) {
+	for _, stored := range []string{
+		`{"queue":"q","spec":{"steps":[{"count":1000000000}]}}`,
+		`{"queue":"q","spec":{"steps":[]}}`,
+		`{"queue":"q","spec":{"steps":[{"count":1,"after":[3]}]}}`,
+		`{"queue":"q","spec":{"steps":[{"count":1}],"recur":{"times":-4}}}`,
+		`{"queue":"q","spec":null}`,
+		`{"queue":7}`,
+		`[]`,
+		``,
+	} {
+		if j, err := workload.DecodeAccepted("00112233445566aa", []byte(stored)); err == nil {
+			t.Errorf("%s is taken as %+v", stored, j)
+		}
+	}
+}
+
+// Progress that does not fit its job is refused.
+func TestProgressThatCannotBeIsRefused(t *testing.T) {
+	for _, stored := range []string{
+		`{"n":-1}`,
+		`{"n":9}`,
+		`{"n":1,"o":2}`,
+		`{"n":1,"o":-1}`,
+		`{"n":1,"k":[{"k":-1,"s":[[[0],[0]]]}]}`,
+		`{"n":1,"k":[{"k":5,"s":[[[0],[0]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[9]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[0,-4]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[0,1,-4]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[1,1]]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[0]]],"x":[[0,0,-1]]}]}`,
+		`{"n":1,"k":[{"k":0,"s":[[[0],[0]]]},{"k":0,"s":[[[0],[0]]]}]}`,
+	} {
+		j := workload.New("00112233445566aa", "q", workload.Policy{}, &workload.Spec{Steps: []workload.Step{{Count: 2}}}, time.Unix(1000, 0))
+		if err := j.RestoreProgress([]byte(stored)); err == nil {
+			t.Errorf("%s is taken", stored)
+		}
+	}
+}
+
+// FuzzRestoreProgress: whatever is stored, the job can be worked on or its progress is
+// refused.
+func FuzzRestoreProgress(f *testing.F) {
+	f.Add([]byte(`{"n":1,"k":[{"k":0,"s":[[[1,3,1,"i-1","c"],[2]],[[0]]],"x":[[0,0,2]]}]}`))
+	f.Add([]byte(`{"n":2,"o":1,"c":true,"f":true}`))
+	f.Fuzz(func(t *testing.T, stored []byte) {
+		spec := &workload.Spec{Steps: []workload.Step{{Count: 2}, {Count: 1, After: []int{0}}}, Recur: workload.Recurrence{Times: 3, Every: time.Second}}
+		j := workload.New("00112233445566aa", "q", workload.Policy{MaxAttempts: 2}, spec, time.Unix(1000, 0))
+		if j.RestoreProgress(stored) != nil {
+			return
+		}
+		j.Begin(time.Unix(2000, 0))
+		j.Status()
+		j.Incarnations()
+		for _, ref := range refs(j, workload.Placed) {
+			if j.Task(ref) != nil {
+				j.Finish(ref)
+			}
+		}
+		for _, ref := range refs(j, workload.Pending) {
+			j.Crash(ref, true)
+			j.Fail(ref)
+		}
+		if err := j.RestoreProgress(j.EncodeProgress()); err != nil {
+			t.Errorf("what it became cannot be read again: %v", err)
+		}
+	})
+}
+
+// FuzzDecodeAccepted: a stored job is one that a customer could have submitted, or an error.
+func FuzzDecodeAccepted(f *testing.F) {
+	f.Add([]byte(`{"queue":"q","policy":{"maxAttempts":3},"spec":{"steps":[{"count":2}]},"submitted":"2026-01-02T03:04:05Z"}`))
+	f.Add([]byte(`{"queue":"q","spec":{"steps":[{"count":1000000000}]}}`))
+	f.Fuzz(func(t *testing.T, stored []byte) {
+		j, err := workload.DecodeAccepted("00112233445566aa", stored)
+		if err != nil {
+			return
+		}
+		if err := j.Spec().Check(); err != nil {
+			t.Errorf("it is taken although %v", err)
+		}
+		j.Begin(time.Unix(2000, 0))
+		j.EncodeProgress()
+	})
+}
+
+// A job that repeats a thousand million times at once takes no more memory than a wide one,
+// and goes on as its occurrences end.
+func TestOccurrencesUnderWayAreBounded(t *testing.T) {
+	spec := &workload.Spec{Steps: []workload.Step{{Count: 100}}, Recur: workload.Recurrence{Times: 1_000_000_000, First: time.Unix(1000, 0)}}
+	j := workload.New("00112233445566aa", "q", workload.Policy{MaxAttempts: 2}, spec, time.Unix(1000, 0))
+	j.Begin(time.Unix(2000, 0))
+	open := len(refs(j, workload.Pending))
+	if open == 0 || open > 4*workload.MaxTasks {
+		t.Fatalf("%d tasks are open", open)
+	}
+	for i := range 100 {
+		ref := workload.TaskRef{K: 0, Index: i}
+		j.Place(ref, "i-1", 1)
+		j.Finish(ref)
+	}
+	if !j.Begin(time.Unix(2000, 0)) || len(refs(j, workload.Pending)) != open {
+		t.Errorf("%d tasks are open once an occurrence is over, want %d again", len(refs(j, workload.Pending)), open)
+	}
+}
