--- a/node/capacity_test.go
+++ b/node/capacity_test.go
@@ -11,13 +11,22 @@
 )
 
 // Instances shrink to a quarter while jobs run on them, and grow again. What runs goes on;
-// nothing is started beyond the new room, though the instances would take it; and the room
-// is used again once it is back.
+// nothing is started beyond the new room, also where the instances would take it; and the
+// room is used again once it is back.
 func TestCapacityThatChanges(t *testing.T) {
 	room := pointport.Shape{CPUMilli: 500, MemoryMiB: 128}
 	large, small := pointport.Shape{CPUMilli: 4000, MemoryMiB: 8192}, pointport.Shape{CPUMilli: 1000, MemoryMiB: 8192}
-	for _, owners := range []string{"stay", "die"} {
-		t.Run("owners "+owners, func(t *testing.T) {
+	cases := []struct {
+		owners string
+		guards []clusterOption
+	}{
+		{"stay", []clusterOption{withoutGuards()}},
+		{"die", []clusterOption{withoutGuards()}},
+		{"stay", nil},
+	}
+	for _, k := range cases {
+		owners := k.owners
+		t.Run(fmt.Sprintf("owners %s, guards %v", owners, k.guards == nil), func(t *testing.T) {
 			bubble(t, 3, func(c *cluster) {
 				n := c.nodes["n0"].node
 				q := queue(t, n, "shift-close")
@@ -48,9 +57,9 @@
 				for i := range jobs {
 					c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, time.Minute)
 				}
-			}, withoutGuards(), withWork(func(pointport.StartOrder) testbed.Work {
+			}, append(k.guards, withWork(func(pointport.StartOrder) testbed.Work {
 				return testbed.Work{Room: room, Duration: time.Second}
-			}))
+			}))...)
 		})
 	}
 }
