Send no start that nothing wants any more

Cause: a start that waits in its lane, behind orders that get no answer, was sent whatever had become of its run meanwhile: Forgo took back only those whose instance had fallen silent.

The boot clock reads once more where the process is kept from running between two readings.

--- a/clock/boot.go
+++ b/clock/boot.go
@@ -23,6 +23,8 @@
 	stepBound = 20 * time.Millisecond
 	// readBound is by how much two readings made one after the other may differ.
 	readBound = 5 * time.Millisecond
+	// readTries is how often they are made until they are near enough.
+	readTries = 3
 	// toldBound is how long a suspension must be to be told of; shorter ones count too.
 	toldBound = 100 * time.Millisecond
 )
@@ -88,6 +90,20 @@
 	return time.Duration(t.Nano()), nil
 }
 
+// readBoth returns the boot time and the steady time since start at one moment. A process
+// that is kept from running between two readings reads once more: the time would count as
+// suspended although the steady clock has gone on.
+func (b *Boot) readBoth() (boot, steady time.Duration, ok bool) {
+	for range readTries {
+		before := time.Since(b.start)
+		boot, err := b.boot()
+		if after := time.Since(b.start); err == nil && after-before < readBound {
+			return boot, before, true
+		}
+	}
+	return 0, 0, false
+}
+
 // Steady returns a time that has gone on while the machine was suspended.
 func (b *Boot) Steady() time.Time {
 	now := time.Now()
@@ -109,9 +125,9 @@
 	if b.boot == nil || !moved && steady-b.checked < checkEvery {
 		return b.suspended, nil
 	}
-	boot, err := b.boot()
-	if err != nil {
-		return b.suspended, nil // it could be read before: what was counted stands
+	boot, steady, ok := b.readBoth()
+	if !ok {
+		return b.suspended, nil // the next question tries again
 	}
 	b.checked, b.ahead = steady, ahead
 	lasted := boot - b.origin - steady - b.suspended
--- a/clock/boot_test.go
+++ b/clock/boot_test.go
@@ -109,3 +109,27 @@
 		t.Errorf("the interval is %v old, want %v", got, want)
 	}
 }
+
+// A process that is kept from running between two readings has not been suspended.
+func TestBootClockIsNotMisledByAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		pause := time.Duration(0)
+		c, err := clock.NewBoot(clock.WithBootTime(func() (time.Duration, error) {
+			time.Sleep(pause)
+			pause = 0
+			return time.Since(began), nil
+		}), clock.OnSuspension(func(s clock.Suspension) { t.Errorf("suspended: %+v", s) }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := c.Steady()
+		time.Sleep(2 * time.Second)
+		pause = 4 * time.Second
+		c.Steady()
+		time.Sleep(2 * time.Second)
+		if got := c.Steady().Sub(first); got != 8*time.Second {
+			t.Errorf("%v have passed, want 8s", got)
+		}
+	})
+}
--- a/elect/suspend_test.go
+++ b/elect/suspend_test.go
@@ -22,7 +22,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	candidate := elect.Start(ctx, freeLeases{}, c, "planner", "me", time.Minute)
-	for end := time.Now().Add(5 * time.Second); !candidate.Held() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); !candidate.Held() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
 	}
 	if !candidate.Held() {
 		t.Fatal("the lease is not held")
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -314,7 +314,7 @@
 
 // stop orders a run to stop, or drops it if it was never sent.
 func (b *Book) stop(now time.Time, r *Run, reason string) {
-	if r.state == runDecided {
+	if r.state == runDecided || r.state == runSent && !r.ordered {
 		b.drop(now, r, reason)
 		return
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -70,6 +70,7 @@
 	if r == nil || w.runs[r.name] != r {
 		return
 	}
+	r.ordered = r.ordered || o.Kind == OrderStart
 	switch o.Kind {
 	case OrderStart:
 		b.startAnswered(r, now, err)
@@ -137,32 +138,40 @@
 	}
 }
 
-// Forgo reports whether a start is better not sent, because its instance has fallen
-// silent or has shrunk since the task was placed there. A task that was never ordered to
-// run waits again at once: it need not wait until the instance expires, and on one that
-// answers nobody it would end unheard. A start that was sent before without an answer is
-// ruled out first.
+// Forgo reports whether a start is better not sent, because of what has become of its run
+// or its instance since it was ordered: it may have waited for a second and more behind
+// orders without an answer, and then started tasks that were done, and those of jobs that
+// were cancelled or had failed. A task that was never ordered to run waits again at once:
+// it need not wait until the instance expires, and on one that answers nobody it would end
+// unheard. A start that was sent before without an answer is ruled out by a stop.
 func (b *Book) Forgo(now time.Time, o Order) bool {
-	r, w := o.Run, o.Worker
-	if o.Kind != OrderStart || w.runs[r.name] != r || r.state != runSent {
+	if o.Kind != OrderStart {
 		return false
 	}
+	r, w := o.Run, o.Worker
 	switch {
-	case r.unanswered > 0 && w.overfull():
+	case w.runs[r.name] != r || r.state != runSent:
+		return true // nothing wants it, or it was answered
+	case r.stopping || r.detached():
+		return true // a run that was never sent was dropped instead
+	case w.overfull() && r.ordered:
 		b.stop(now, r, "its instance has shrunk, and it is not known to run there")
-	case r.unanswered > 0:
-		return false
-	case w.silent:
-		b.drop(now, r, "its instance fell silent before its start was sent")
 	case w.overfull():
-		b.drop(now, r, "its instance shrank before its start was sent")
+		b.dropUnsent(now, r, "its instance shrank before its start was sent")
+	case w.silent && !r.ordered:
+		b.dropUnsent(now, r, "its instance fell silent before its start was sent")
 	default:
 		return false
 	}
-	b.urgent = true
 	return true
 }
 
+// dropUnsent drops a run whose start was never sent; its task waits again.
+func (b *Book) dropUnsent(now time.Time, r *Run, reason string) {
+	b.drop(now, r, reason)
+	b.urgent = true
+}
+
 // startOrder returns the order to start a run.
 func startOrder(r *Run) Order {
 	o := Order{Kind: OrderStart, Run: r, Worker: r.worker, TaskRun: r.TaskRun(), Payload: r.entry.job.Spec().Payload, Ticket: r.ticket}
