--- a/schedule/forgo_test.go
+++ b/schedule/forgo_test.go
@@ -17,7 +17,7 @@
 // evidence: 'task returned', 'run ended' of the first run, and a second run with
 // 'startedAfter' of 1.2 s whose end says that it was stopped.
 
-// waiting returns a book in which a start waits to be sent, and that start: of a copy of a
+// waitingCopy returns a book in which a start waits to be sent, and that start: of a copy of a
 // task whose first run is on a silent instance.
 func waitingCopy(t *testing.T) (b *schedule.Book, first, second schedule.Order, now time.Time) {
 	t.Helper()
