--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -385,3 +385,36 @@
 		t.Errorf("starts %v 2.1 s later, want some", got)
 	}
 }
+
+// What was seen: a serving task was given up and missing to the end of the day. The order
+// of events: its zone was cut off twice for seconds; each time its instance was silent until
+// the task's time was over and its registration went, which counted as a crash; then one
+// instance crashed in fact, and that was the third. The evidence: 'instance expired',
+// 'task returned' and 'run lost' with cause crashed, without 'incarnation ended' between.
+//
+// An instance that is only out of reach has not crashed under what had run there for long.
+// Where a task had just been started the silence counts, because nothing else may ever tell.
+func TestInstanceOutOfReachHasNotCrashedUnderWhatRan(t *testing.T) {
+	for _, c := range []struct {
+		lived time.Duration
+		want  int
+	}{{10 * time.Second, 0}, {100 * time.Millisecond, 1}} {
+		b := newBook()
+		j := job("a", policy, step(1, 500, func(s *workload.Step) { s.Service = true }))
+		b.Add(start, j)
+		hear(b, start, incarnation(0))
+		started := orders(b, start)
+		answer(b, started, start)
+		w := b.Workers()[0]
+		now := start.Add(c.lived)
+		report(b, started, w, now, 100)
+		w.Until(now, settings.Lease)
+		b.Silent(w, now, &pointport.UnavailableError{Op: "hold", Ambiguous: true})
+		b.SetIncarnations(now, nil)
+		now = now.Add(10 * time.Second)
+		b.SetIncarnations(now, nil)
+		if task := j.Task(workload.TaskRef{}); task.Phase != workload.Pending || task.Crashes != c.want {
+			t.Errorf("after %v at work, phase %d and %d crashes, want that it waits and %d", c.lived, task.Phase, task.Crashes, c.want)
+		}
+	}
+}
