--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -95,13 +95,28 @@
 		switch {
 		case at != nil && at.strays == 0 && len(at.burns) == 0 && allOfGang(died, r):
 			how = workload.CrashAlone
-		case r.lived() < quarantineFor:
+		case r.justStarted():
 			how = workload.CrashAtStart
 		}
 		b.countCrash(now, r, how, len(died)-1)
 	}
 }
 
+// justStarted reports whether a run was not known to run for long when its instance last
+// answered.
+func (r *Run) justStarted() bool { return r.lived() < quarantineFor }
+
+// justStarted returns the runs of which that is so.
+func justStarted(runs []*Run) []*Run {
+	var out []*Run
+	for _, r := range runs {
+		if r.justStarted() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // lived returns for how long a run was known to run while its instance still answered.
 func (r *Run) lived() time.Duration {
 	if r.liveAt.IsZero() {
--- a/schedule/silence.go
+++ b/schedule/silence.go
@@ -84,7 +84,10 @@
 		}
 		if len(w.runs) == 0 && !w.listed && (w.ended || now.After(w.life.ends())) {
 			if !w.ended && w.parting(now) == partingCrashed {
-				b.countCrashes(now, w.unproven, nil)
+				// Nothing proves that it crashed, and zones that are cut off heal: two
+				// cuts and a crash had a serving task given up that was at work for 10 s
+				// each time. Only what had just been started may have caused its silence.
+				b.countCrashes(now, justStarted(w.unproven), nil)
 			}
 			delete(b.workers, id)
 		}
