Know whose a request is: customers, keys, and jobs that only their customer sees

A peer that keeps a job for one that is cut off judges the key by the newer configuration of the two. strict_revocation and revocation_ms say what a member does that does not know the newest. The ingress now asks for the configuration that is known to be the newest after a suspension, as the docs say it did.

--- a/cli/join.go
+++ b/cli/join.go
@@ -12,6 +12,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/internal/heap"
@@ -134,8 +135,9 @@
 			Source: node.Source[capacity.Wave]{Prefix: platform.WavePrefix, Decode: platform.DecodeWave},
 			Status: platform.WaveStatus,
 		},
-		Ingress: func(d *intake.Desk, catalog func() *workload.Catalog) http.Handler {
-			return platform.NewIngress(d, catalog)
+		Ingress: func(d *intake.Desk, catalog func() *workload.Catalog, keysTrusted func() bool) http.Handler {
+			as := func(c customer.Caller) platform.Desk { return d.As(c) }
+			return platform.NewIngress(as, catalog, logger, platform.KeysTrusted(keysTrusted))
 		},
 	}
 	if s.Machines != "" {
@@ -149,7 +151,7 @@
 	}
 	services.Metrics, services.Brief = figures.Handler(), figures.Brief()
 	services.Operators = func(d *intake.Desk, owners *peer.Owners, catalog func() *workload.Catalog) http.Handler {
-		return operator.NewWorkloads(d, owners, catalog)
+		return operator.NewWorkloads(d.As(customer.Operator()), owners, catalog)
 	}
 	n, err := node.Start(ctx, services, node.Parameters{
 		Name: s.Name, Zone: s.Zone, Strength: strength(s),
@@ -157,6 +159,7 @@
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace,
 		GangTime: s.GangTime, FarFactor: s.FarFactor, HolderTime: s.HolderTime,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime}, Full: guard.Near,
+		Keys:     node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime},
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -136,6 +136,8 @@
 		splits("cause", "crashed", "left", "ordered"), times("sinceSeen"))
 	TaskGivenUp     = define(541, "task given up", slog.LevelWarn, "A task is not started again, because so many instances have crashed under it as crashes says; alone says that nothing else ran on the last one, jobFails whether its job fails with it or goes on without it.")
 	InstanceResized = define(542, "instance resized", slog.LevelInfo, "An instance says that it holds more or less than before, while it runs; free below zero says that nothing is started there until enough has ended.")
+	CallerRefused   = define(543, "caller refused", slog.LevelInfo, "A call was refused because the key that it showed is nobody's, or because it showed none; key is its fingerprint, version that of the configuration.",
+		splits("reason", "missing", "malformed", "twice", "unknown"))
 	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
 	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/workload"
 )
@@ -41,10 +42,12 @@
 	// Submitted tells a pool's owner of a job that was accepted by the change
 	// that made revision at. It does not wait.
 	Submitted(pool, id string, accepted []byte, at pointport.Revision)
-	// Cancel has a pool's owner cancel a job; false if it does not know the job.
-	Cancel(ctx context.Context, pool, id string) (bool, error)
-	// Status asks a pool's owner for a job; false if it does not know the job.
-	Status(ctx context.Context, pool, id string) (workload.Status, bool, error)
+	// Cancel has a pool's owner cancel a job; false if it does not know the job, or the
+	// caller may not.
+	Cancel(ctx context.Context, pool, id string, by customer.Caller) (bool, error)
+	// Status asks a pool's owner for a job; false if it does not know the job, or the
+	// caller may not.
+	Status(ctx context.Context, pool, id string, by customer.Caller) (workload.Status, bool, error)
 	// Keep has a peer keep a job and returns the peer's name. It fails with a
 	// *RefusedError or an *UnsureError.
 	Keep(ctx context.Context, s Submission) (peer string, err error)
@@ -60,8 +63,12 @@
 	// reachable reports whether the store answers at present.
 	reachable func() bool
 	// full reports whether this member can hold no more.
-	full   func() bool
-	logger *slog.Logger
+	full func() bool
+	// customers returns the customers in force and the version of the configuration that
+	// lists them.
+	customers func() (*customer.Directory, int64)
+	caller    customer.Caller
+	logger    *slog.Logger
 }
 
 // A DeskOption changes a Desk.
@@ -71,15 +78,29 @@
 // peer, or refused at once.
 func WithFull(full func() bool) DeskOption { return func(d *Desk) { d.full = full } }
 
-// NewDesk returns a desk.
+// WithCustomers sets what returns the customers in force and the version of the
+// configuration that lists them.
+func WithCustomers(customers func() (*customer.Directory, int64)) DeskOption {
+	return func(d *Desk) { d.customers = customers }
+}
+
+// NewDesk returns a desk for callers that show no key.
 func NewDesk(kv pointport.KV, owners Owners, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...DeskOption) *Desk {
 	d := &Desk{kv: kv, owners: owners, clock: clock, reachable: reachable, full: func() bool { return false }, logger: logger}
+	d.customers = func() (*customer.Directory, int64) { return nil, 0 }
 	for _, o := range options {
 		o(d)
 	}
 	return d
 }
 
+// As returns the desk as a caller sees it.
+func (d *Desk) As(c customer.Caller) *Desk {
+	as := *d
+	as.caller = c
+	return &as
+}
+
 // A RefusedError says that a job was not taken and never runs by this attempt.
 type RefusedError struct {
 	ID    string
@@ -102,17 +123,38 @@
 // Unwrap returns the cause.
 func (e *UnsureError) Unwrap() error { return e.Err }
 
-// An UnknownJobError says that there is no such job.
+// An UnknownJobError says that there is no such job, as far as its caller may know.
 type UnknownJobError struct {
 	ID string
+	// others says that there is one of another customer.
+	others bool
 }
 
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
 
+// A TakenError says that a job was not taken because its identity is another customer's.
+type TakenError struct {
+	ID string
+}
+
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("job %s is not taken: its identity is in use", e.ID)
+}
+
+// A RevokedError says that a job was not taken because the key that its caller showed is
+// good no longer.
+type RevokedError struct {
+	ID string
+}
+
+func (e *RevokedError) Error() string {
+	return fmt.Sprintf("job %s is not taken: the key is not in force any more", e.ID)
+}
+
 // Status returns how a job stands. It fails with an *UnknownJobError if there is
 // no such job.
 func (d *Desk) Status(ctx context.Context, q *workload.Queue, id string) (workload.Status, error) {
-	status, known, ownerErr := d.owners.Status(ctx, q.Pool, id)
+	status, known, ownerErr := d.owners.Status(ctx, q.Pool, id, d.caller)
 	if ownerErr == nil && known {
 		return status, nil
 	}
@@ -136,7 +178,7 @@
 		return record.Ended, nil
 	}
 	if record.Pool != q.Pool {
-		if s, known, err := d.owners.Status(ctx, record.Pool, id); err == nil && known {
+		if s, known, err := d.owners.Status(ctx, record.Pool, id, d.caller); err == nil && known {
 			return s, nil
 		}
 	}
@@ -166,20 +208,26 @@
 	if !e.Exists() {
 		return workload.Record{}, &UnknownJobError{ID: id}
 	}
-	return workload.DecodeRecord(id, e.Value())
+	record, err := workload.DecodeRecord(id, e.Value())
+	if err == nil && !d.caller.Sees(record.Customer) {
+		return workload.Record{}, &UnknownJobError{ID: id, others: true}
+	}
+	return record, err
 }
 
 // Cancel cancels a job and returns once that is stored. A job that is over stays
 // as it ended. It fails with an *UnknownJobError if there is no such job.
 func (d *Desk) Cancel(ctx context.Context, q *workload.Queue, id string) error {
-	if known, err := d.owners.Cancel(ctx, q.Pool, id); err == nil && known {
+	if known, err := d.owners.Cancel(ctx, q.Pool, id, d.caller); err == nil && known {
 		event.JobCancelled.Log(d.logger, slog.String("job", id), slog.String("by", "owner"))
 		return nil
 	}
 	record, err := d.record(ctx, id)
 	var unknown *UnknownJobError
 	if errors.As(err, &unknown) {
-		err := d.bury(ctx, q, id)
+		if !unknown.others {
+			err = d.bury(ctx, q, id)
+		}
 		d.logUnknown(err, q, id, "cancel")
 		return err
 	}
@@ -213,7 +261,7 @@
 // submission that is still under way cannot bring it to life after its customer
 // was told that there is no such job.
 func (d *Desk) bury(ctx context.Context, q *workload.Queue, id string) error {
-	record, err := workload.Record{Pool: q.Pool, Queue: q.Name, Ended: workload.Cancelled}.Encode()
+	record, err := workload.Record{Pool: q.Pool, Queue: q.Name, Customer: d.caller.Name, Ended: workload.Cancelled}.Encode()
 	if err != nil {
 		return err
 	}
@@ -224,6 +272,9 @@
 	if err != nil {
 		return err
 	}
+	if kept.before && !d.caller.Sees(kept.customer) {
+		return &UnknownJobError{ID: id, others: true}
+	}
 	if kept.before {
 		return d.leaveCancel(ctx, q.Pool, id)
 	}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -7,6 +7,7 @@
 	"log/slog"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/workload"
 )
@@ -19,13 +20,15 @@
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
+	// By is who hands it in.
+	By customer.Caller `json:"by,omitzero"`
 	// Accepted is the stored form of the job.
 	Accepted json.RawMessage `json:"accepted"`
 }
 
 // txn returns the change that keeps the job if its identity is not taken.
 func (s Submission) txn() (pointport.Txn, error) {
-	record, err := workload.Record{Pool: s.Pool, Queue: s.Queue}.Encode()
+	record, err := workload.Record{Pool: s.Pool, Queue: s.Queue, Customer: s.By.Name}.Encode()
 	if err != nil {
 		return pointport.Txn{}, err
 	}
@@ -38,18 +41,18 @@
 	}, nil
 }
 
-// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError or an
-// *UnsureError.
+// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError, a
+// *RevokedError, a *TakenError or an *UnsureError.
 func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
 	if err := spec.Check(); err != nil {
 		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
 	}
-	accepted, err := workload.New(id, q.Name, q.Policy, spec, d.clock.Now()).EncodeAccepted()
+	accepted, err := workload.New(id, q.Name, q.Policy, spec, d.clock.Now(), workload.Of(d.caller.Name)).EncodeAccepted()
 	if err != nil {
 		return err
 	}
-	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, Accepted: accepted}
+	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, By: d.caller, Accepted: accepted}
 	err = d.Keep(ctx, s)
 	var refused *RefusedError
 	var unsure *UnsureError
@@ -58,7 +61,7 @@
 	}
 	if err != nil {
 		event.JobRefused.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name),
-			slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
+			slog.String("customer", d.caller.Name), slog.Bool("sure", !errors.As(err, &unsure)), slog.Any("reason", err))
 	}
 	return err
 }
@@ -85,9 +88,15 @@
 // answers, and there is memory for it.
 func (d *Desk) Served() bool { return d.reachable() && !d.full() }
 
-// Keep stores a job without asking anybody else to. It fails with a *RefusedError
-// or an *UnsureError.
+// Keep stores a job without asking anybody else to. It fails with a *RefusedError, a
+// *RevokedError, a *TakenError or an *UnsureError.
+//
+// A job that a peer hands on was judged by the configuration that the peer knew. A peer that
+// the store does not serve may know an old one, so a newer one here has the last word.
 func (d *Desk) Keep(ctx context.Context, s Submission) error {
+	if customers, version := d.customers(); s.By.Revoked(customers, version) {
+		return &RevokedError{ID: s.ID}
+	}
 	if !d.reachable() {
 		return &RefusedError{ID: s.ID, After: RetryAfter, Cause: "the store gives no answer"}
 	}
@@ -103,7 +112,10 @@
 	if err != nil {
 		return err
 	}
-	event.JobAccepted.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool),
+	if kept.before && !s.By.Sees(kept.customer) {
+		return &TakenError{ID: s.ID}
+	}
+	event.JobAccepted.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
 		slog.Bool("known", kept.before), slog.Duration("took", d.clock.Now().Sub(now)))
 	if kept.open {
 		d.owners.Submitted(s.Pool, s.ID, s.Accepted, kept.at)
@@ -118,6 +130,8 @@
 	// before says that it was found taken: by an earlier submission, or by a sending
 	// of this one whose answer was lost. Which it was does not matter.
 	before bool
+	// customer is the name of whose the job is that was found.
+	customer string
 	// open says that its job has not ended, so that the pool's owner must know it.
 	// The owner is told even if it may know: if the answer was lost, nobody has told
 	// it, and it would learn of the job from its watch some 0.2 s later.
@@ -164,7 +178,7 @@
 			// Whoever took the identity, no job is begun under it again.
 			event.JobUnreadable.Log(d.logger, slog.String("job", id), slog.Int64("revision", int64(e.Revision())), slog.Any("error", err))
 		}
-		return keeping{at: e.Created(), before: true, open: err == nil && record.Ended == ""}
+		return keeping{at: e.Created(), before: true, customer: record.Customer, open: err == nil && record.Ended == ""}
 	}
 	return keeping{before: true}
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -59,6 +59,7 @@
 	full map[string]bool
 	// latency is how long each call to the store takes.
 	latency time.Duration
+	keys    node.KeyPolicy
 }
 
 type running struct {
@@ -110,6 +111,11 @@
 	return func(c *cluster, _ *[]testbed.Option) { c.latency = d }
 }
 
+// withKeys sets how nodes judge keys while they do not know the newest configuration.
+func withKeys(p node.KeyPolicy) clusterOption {
+	return func(c *cluster, _ *[]testbed.Option) { c.keys = p }
+}
+
 func withoutGuards() clusterOption {
 	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithGuards(false)) }
 }
@@ -316,7 +322,7 @@
 		Name: name, Zone: "north", Addresses: node.Addresses{Peers: ""}, LeaseTTL: member.DefaultTTL,
 		TaskLease: 4 * time.Second, Grace: 6 * time.Second, HolderTime: holderTime, PeerName: name,
 		GangTime: testbed.DefaultGangTime, FarFactor: 2,
-		Capacity: capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep},
+		Capacity: capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep}, Keys: c.keys,
 		Full: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointport/pointport"
 	clocks "github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/steward"
@@ -123,6 +124,14 @@
 	return c.Catalog()
 }
 
+// customers returns the customers in force and the version that lists them.
+func (c *configs) customers() (*customer.Directory, int64) {
+	if k := c.Catalog(); k != nil {
+		return k.Customers, k.Version
+	}
+	return nil, 0
+}
+
 // workPools returns the pools that need an owner.
 func (c *configs) workPools() []string {
 	if k := c.Catalog(); k != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -58,8 +58,9 @@
 	// Machines moves and maintains instances; nil if nobody does.
 	Machines pointport.Machines
 	Waves    WaveSource
-	// Ingress makes the handler of clients' calls.
-	Ingress func(*intake.Desk, func() *workload.Catalog) http.Handler
+	// Ingress makes the handler of clients' calls; keysTrusted reports whether it is known
+	// which keys are in force.
+	Ingress func(desk *intake.Desk, catalog func() *workload.Catalog, keysTrusted func() bool) http.Handler
 	// Metrics serves the node's figures, Brief the most telling of them; nil for none.
 	Metrics, Brief http.Handler
 	// Operators makes the handler of the operators' API, which is served beside the
@@ -92,11 +93,21 @@
 	// HolderTime must lie between the orders of two holders of an instance.
 	HolderTime time.Duration
 	Capacity   capacity.Settings
+	Keys       KeyPolicy
 	// Full reports whether the node can hold no more, so that new jobs are better kept
 	// by a peer; nil if it always can.
 	Full func() bool
 }
 
+// A KeyPolicy says how customers' keys are judged while the newest configuration is not
+// known.
+type KeyPolicy struct {
+	// Strict says that a key that may have been taken away is refused rather than let in.
+	Strict bool
+	// Time is for how long a configuration may be out of date before that begins.
+	Time time.Duration
+}
+
 // A Node is a running entry instance.
 type Node struct {
 	services Services
@@ -149,10 +160,18 @@
 
 // deskOptions returns what varies of the desk.
 func (n *Node) deskOptions() []intake.DeskOption {
-	if n.params.Full == nil {
-		return nil
+	options := []intake.DeskOption{intake.WithCustomers(n.configs.customers)}
+	if n.params.Full != nil {
+		options = append(options, intake.WithFull(n.params.Full))
 	}
-	return []intake.DeskOption{intake.WithFull(n.params.Full)}
+	return options
+}
+
+// KeysTrusted reports whether it is known which keys are in force, as far as the operators
+// ask for that: a member that is cut off from the store goes on with the keys that it knows
+// unless they are strict about it.
+func (n *Node) KeysTrusted() bool {
+	return !n.params.Keys.Strict || n.configs.age() <= n.params.Keys.Time
 }
 
 // startSteward lets the node be the one that moves and maintains instances.
@@ -186,7 +205,7 @@
 	a := n.params.Addresses
 	n.clients = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	if n.services.Ingress != nil {
-		n.clients.Handler = n.dismissing(n.services.Ingress(n.desk, n.configs.Catalog))
+		n.clients.Handler = n.dismissing(n.services.Ingress(n.desk, n.configs.Trusted, n.KeysTrusted))
 	}
 	serve := []struct {
 		address string
--- a/node/thinlink_test.go
+++ b/node/thinlink_test.go
@@ -85,7 +85,7 @@
 	for i := range queues {
 		c.Queues = append(c.Queues, workload.Queue{Name: fmt.Sprintf("queue-%06d", i), Host: "example", Path: fmt.Sprintf("/%06d/", i), Pool: "shift"})
 	}
-	if _, err := n.kv.Commit(context.Background(), pointport.Txn{Put: []pointport.Put{{Key: platform.ConfigKey, Value: platform.EncodeConfig(c)}}}); err != nil {
+	if _, err := n.kv.Commit(context.Background(), pointport.Txn{Put: []pointport.Put{{Key: platform.ConfigKey, Value: platform.EncodeConfig(c, nil)}}}); err != nil {
 		n.t.Fatal(err)
 	}
 }
--- a/peer/keep.go
+++ b/peer/keep.go
@@ -74,6 +74,12 @@
 			o.served.add(m.Name)
 			return m.Name, nil
 		}
+		switch {
+		case err == nil && r.Revoked:
+			return "", &intake.RevokedError{ID: s.ID}
+		case err == nil && r.Taken:
+			return "", &intake.TakenError{ID: s.ID}
+		}
 		o.resting.add(m.Name)
 		switch {
 		case err != nil && !neverSent(err):
@@ -166,8 +172,14 @@
 	}
 	err := store.Keep(r.Context(), *q.Keep)
 	var refused *intake.RefusedError
+	var revoked *intake.RevokedError
+	var taken *intake.TakenError
 	a := reply{Known: err == nil}
 	switch {
+	case errors.As(err, &revoked):
+		a.Revoked = true
+	case errors.As(err, &taken):
+		a.Taken = true
 	case errors.As(err, &refused):
 		a.Refused = refused.Cause
 	case err != nil:
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
@@ -51,9 +52,11 @@
 // A question names what it is about. Its fields are exported because a codec
 // reads and writes them.
 type question struct {
-	Pool     string          `json:"pool"`
-	Job      string          `json:"job,omitempty"`
-	Queue    string          `json:"queue,omitempty"`
+	Pool  string `json:"pool"`
+	Job   string `json:"job,omitempty"`
+	Queue string `json:"queue,omitempty"`
+	// By is who asks about a job.
+	By       customer.Caller `json:"by,omitzero"`
 	Accepted json.RawMessage `json:"accepted,omitempty"`
 	// At is the revision at which a job was accepted.
 	At pointport.Revision `json:"at,omitempty"`
@@ -75,6 +78,10 @@
 	// Unsure that this is not known.
 	Refused string `json:"refused,omitempty"`
 	Unsure  string `json:"unsure,omitempty"`
+	// Revoked says that a job was not stored because its caller's key is not in force,
+	// Taken because its identity is another customer's.
+	Revoked bool `json:"revoked,omitempty"`
+	Taken   bool `json:"taken,omitempty"`
 }
 
 // ErrNoOwner says that no owner of a pool is known.
@@ -147,20 +154,20 @@
 }
 
 // Cancel has a pool's owner cancel a job.
-func (o *Owners) Cancel(ctx context.Context, pool, id string) (bool, error) {
+func (o *Owners) Cancel(ctx context.Context, pool, id string, by customer.Caller) (bool, error) {
 	if local, ok := o.keeper.Tenant(pool); ok {
-		return local.Cancel(ctx, id)
+		return local.Cancel(ctx, id, by)
 	}
-	r, err := o.ask(ctx, cancelPath, question{Pool: pool, Job: id})
+	r, err := o.ask(ctx, cancelPath, question{Pool: pool, Job: id, By: by})
 	return r.Known, err
 }
 
 // Status asks a pool's owner for a job.
-func (o *Owners) Status(ctx context.Context, pool, id string) (workload.Status, bool, error) {
+func (o *Owners) Status(ctx context.Context, pool, id string, by customer.Caller) (workload.Status, bool, error) {
 	if local, ok := o.keeper.Tenant(pool); ok {
-		return local.Status(ctx, id)
+		return local.Status(ctx, id, by)
 	}
-	r, err := o.ask(ctx, statusPath, question{Pool: pool, Job: id})
+	r, err := o.ask(ctx, statusPath, question{Pool: pool, Job: id, By: by})
 	return r.Status, r.Known, err
 }
 
@@ -236,11 +243,11 @@
 		return reply{Known: true}, nil
 	})
 	handle(cancelPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
-		known, err := o.Cancel(ctx, q.Job)
+		known, err := o.Cancel(ctx, q.Job, q.By)
 		return reply{Known: known}, err
 	})
 	handle(statusPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
-		status, known, err := o.Status(ctx, q.Job)
+		status, known, err := o.Status(ctx, q.Job, q.By)
 		return reply{Known: known, Status: status}, err
 	})
 	handle(waitingPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -14,8 +14,9 @@
 
 // A Record is a job that must be stored.
 type Record struct {
-	ID    string
-	Queue string
+	ID       string
+	Queue    string
+	Customer string
 	// Progress is the stored form of the job's progress; it is empty if the job
 	// is over.
 	Progress []byte
@@ -72,7 +73,7 @@
 	b.urgent = false
 	b.limited = entries <= limitedEntries
 	for _, e := range b.changedJobs() {
-		record := Record{ID: e.job.ID(), Queue: e.job.Queue(), Ended: e.ended}
+		record := Record{ID: e.job.ID(), Queue: e.job.Queue(), Customer: e.job.Customer(), Ended: e.ended}
 		if record.Entries() > entries {
 			batch.Whole = false
 			b.urgent = b.urgent || b.dirty[e]
@@ -159,7 +160,7 @@
 		w.acked = max(w.acked, n)
 	}
 	for _, e := range batch.ended {
-		b.over[e.job.ID()] = finished{e.ended, now}
+		b.over[e.job.ID()] = finished{e.ended, e.job.Customer(), now}
 		delete(b.jobs, e.job.ID())
 		delete(b.hungry, e)
 		delete(b.recurring, e)
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -75,8 +75,9 @@
 
 // A finished job is remembered for those who ask.
 type finished struct {
-	status workload.Status
-	at     time.Time
+	status   workload.Status
+	customer string
+	at       time.Time
 }
 
 // A Book is the state of one pool's jobs and workers. It is not safe for
@@ -267,6 +268,18 @@
 	return workload.Running, true
 }
 
+// Owner returns the name of the customer whose a job is, empty if it is nobody's; false if
+// the job is not in the book.
+func (b *Book) Owner(id string) (string, bool) {
+	if f, ok := b.over[id]; ok {
+		return f.customer, true
+	}
+	if e, ok := b.jobs[id]; ok {
+		return e.job.Customer(), true
+	}
+	return "", false
+}
+
 // Waiting returns how many jobs of a queue have not begun.
 func (b *Book) Waiting(queue string) int {
 	n := 0
--- a/shard/load.go
+++ b/shard/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/schedule"
@@ -130,11 +131,15 @@
 }
 
 // Cancel cancels a job and returns once that is stored. It reports whether the
-// owner knows the job.
-func (o *Owner) Cancel(ctx context.Context, id string) (bool, error) {
+// owner knows the job, and the caller may.
+func (o *Owner) Cancel(ctx context.Context, id string, by customer.Caller) (bool, error) {
 	type outcome struct{ known bool }
 	answer := make(chan outcome, 1)
 	sent := o.do(func(now time.Time) {
+		if !o.seen(id, by) {
+			answer <- outcome{false}
+			return
+		}
 		if !o.book.Cancel(now, id) {
 			_, known := o.book.Status(id)
 			answer <- outcome{known}
@@ -155,15 +160,22 @@
 	}
 }
 
-// Status returns what the owner knows of a job; false if it knows nothing.
-func (o *Owner) Status(ctx context.Context, id string) (workload.Status, bool, error) {
+// seen reports whether the book has a job that a caller may know of.
+func (o *Owner) seen(id string, by customer.Caller) bool {
+	owner, known := o.book.Owner(id)
+	return known && by.Sees(owner)
+}
+
+// Status returns what the owner knows of a job; false if it knows nothing, or the job is
+// another customer's than the caller's.
+func (o *Owner) Status(ctx context.Context, id string, by customer.Caller) (workload.Status, bool, error) {
 	type outcome struct {
 		status workload.Status
 		known  bool
 	}
 	a, err := ask(ctx, o, func() outcome {
 		s, known := o.book.Status(id)
-		return outcome{s, known}
+		return outcome{s, known && o.seen(id, by)}
 	})
 	return a.status, a.known, err
 }
--- a/shard/log.go
+++ b/shard/log.go
@@ -50,7 +50,7 @@
 		txn.Put = append(txn.Put, pointport.Put{Key: workload.ProgressKey(pool, r.ID), Value: r.Progress})
 		return nil
 	}
-	value, err := workload.Record{Pool: pool, Queue: r.Queue, Ended: r.Ended}.Encode()
+	value, err := workload.Record{Pool: pool, Queue: r.Queue, Customer: r.Customer, Ended: r.Ended}.Encode()
 	if err != nil {
 		return err
 	}
--- a/standin/grid/grid.go
+++ b/standin/grid/grid.go
@@ -192,7 +192,7 @@
 	next.Version = g.version
 	g.mu.Unlock()
 	_, err := g.kv.Commit(context.Background(), pointport.Txn{
-		Put: []pointport.Put{{Key: platform.ConfigKey, Value: platform.EncodeConfig(&next)}},
+		Put: []pointport.Put{{Key: platform.ConfigKey, Value: platform.EncodeConfig(&next, nil)}},
 	})
 	return err
 }
--- a/workload/catalog.go
+++ b/workload/catalog.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/pointport/pointport/customer"
 )
 
 // This file defines the catalog: the operators' configuration of queues and
@@ -17,6 +19,9 @@
 	// Timeout is how long an answer to a customer may take.
 	Timeout time.Duration
 	Policy  Policy
+	// Anonymous says that callers need show no key. A key that one shows must be good all
+	// the same.
+	Anonymous bool
 	// Advice says how the advisor behaves for the queue; it is zero if the queue
 	// needs none.
 	Advice Advice
@@ -52,6 +57,9 @@
 	Queues  []Queue
 	Pools   []PoolInfo
 	Limits  Limits
+	// Customers are those whose requests are served; nil where no customers are told
+	// apart and nobody needs a key.
+	Customers *customer.Directory
 }
 
 // Match returns the queue whose host and longest path prefix fit; false if none
--- a/workload/codec.go
+++ b/workload/codec.go
@@ -17,6 +17,7 @@
 // acceptedDocument is the stored form of what was accepted.
 type acceptedDocument struct {
 	Queue     string    `json:"queue"`
+	Customer  string    `json:"customer,omitempty"`
 	Policy    Policy    `json:"policy"`
 	Spec      *Spec     `json:"spec"`
 	Submitted time.Time `json:"submitted"`
@@ -24,7 +25,7 @@
 
 // EncodeAccepted returns the stored form of what was accepted.
 func (j *Job) EncodeAccepted() ([]byte, error) {
-	return json.Marshal(acceptedDocument{j.queue, j.policy, j.spec, j.submitted})
+	return json.Marshal(acceptedDocument{j.queue, j.customer, j.policy, j.spec, j.submitted})
 }
 
 // DecodeAccepted returns the job called id from its stored form.
@@ -40,7 +41,7 @@
 		// Each owner in turn would run out of memory for a step of a billion tasks.
 		return nil, fmt.Errorf("stored job %s: %w", id, err)
 	}
-	return New(id, d.Queue, d.Policy, d.Spec, d.Submitted), nil
+	return New(id, d.Queue, d.Policy, d.Spec, d.Submitted, Of(d.Customer)), nil
 }
 
 // progressDocument is the stored form of a job's progress. The rows of an
--- a/workload/job.go
+++ b/workload/job.go
@@ -68,6 +68,7 @@
 type Job struct {
 	id        string
 	queue     string
+	customer  string
 	policy    Policy
 	spec      *Spec
 	submitted time.Time
@@ -81,12 +82,22 @@
 	over int
 }
 
+// An Option changes a Job that is made.
+type Option func(*Job)
+
+// Of names the customer whose the job is.
+func Of(customer string) Option { return func(j *Job) { j.customer = customer } }
+
 // New returns a job none of whose tasks has begun.
-func New(id, queue string, policy Policy, spec *Spec, submitted time.Time) *Job {
-	return &Job{
+func New(id, queue string, policy Policy, spec *Spec, submitted time.Time, options ...Option) *Job {
+	j := &Job{
 		id: id, queue: queue, policy: policy, spec: spec, submitted: submitted,
 		occurrences: make(map[int]*Occurrence),
 	}
+	for _, o := range options {
+		o(j)
+	}
+	return j
 }
 
 // ID returns the job's identity, which its customer chose.
@@ -95,6 +106,9 @@
 // Queue returns the name of the queue that the job came by.
 func (j *Job) Queue() string { return j.queue }
 
+// Customer returns the name of whose the job is, empty if its caller showed no key.
+func (j *Job) Customer() string { return j.customer }
+
 // Policy returns what held for the queue when the job was accepted.
 func (j *Job) Policy() Policy { return j.policy }
 
--- a/workload/keys.go
+++ b/workload/keys.go
@@ -51,6 +51,8 @@
 type Record struct {
 	Pool  string `json:"pool"`
 	Queue string `json:"queue"`
+	// Customer is the name of whose the job is, empty if its caller showed no key.
+	Customer string `json:"customer,omitempty"`
 	// Ended is how the job ended, empty while it is open.
 	Ended Status `json:"ended,omitempty"`
 }
