Package quota: what a customer has running in all pools stays within its cap

Cause: each pool is ordered about by an owner of its own, and a cap holds over all of them. Change: a quarter of a cap is split evenly over the pools and costs no call; the rest floats in rows of the customer's account, changed by compare-and-swap. After a cap was lowered nothing of the customer starts until the owners of all pools have written down what they use. Conclusion: not in use yet; the owners take it up next.

--- a/cli/join.go
+++ b/cli/join.go
@@ -159,7 +159,7 @@
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), Grace: s.Grace,
 		GangTime: s.GangTime, FarFactor: s.FarFactor, HolderTime: s.HolderTime,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime}, Full: guard.Near,
-		Keys:     node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime},
+		Keys: node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime},
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -138,6 +138,6 @@
 	InstanceResized = define(542, "instance resized", slog.LevelInfo, "An instance says that it holds more or less than before, while it runs; free below zero says that nothing is started there until enough has ended.")
 	CallerRefused   = define(543, "caller refused", slog.LevelInfo, "A call was refused because the key that it showed is nobody's, or because it showed none; key is its fingerprint, version that of the configuration.",
 		splits("reason", "missing", "malformed", "twice", "unknown"))
-	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
-	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
+	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,321 @@
+package quota
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines what the owner of one pool may use of customers' caps.
+
+const (
+	// growPercent of what is used and wanted must be held, or else as much is asked for as
+	// holdPercent of it, so that the next tasks need not wait for a change of the account
+	// and not each of them makes one.
+	growPercent, holdPercent = 110, 130
+	// leastStep is the least part of what floats, as a divisor, for which a row is lowered.
+	leastStep = 16
+	// keepTime is how long a pool holds what it does not need. Demand comes and goes by
+	// turns of some seconds, and each change is a call.
+	keepTime = time.Second
+)
+
+// A Use is what a pool uses of a customer's cap. Shapes are as tasks declare them.
+type Use struct {
+	// Used is taken by runs, Wanted by tasks that wait for the cap alone.
+	Used, Wanted pointport.Shape
+}
+
+// A Change is to be made of an account, if it is still at a revision.
+type Change struct {
+	Customer string
+	Key      string
+	Revision pointport.Revision
+	Value    []byte
+}
+
+// A Ledger says what the owner of a pool may use of customers' caps, and what to store for
+// that. It is not safe for concurrent use.
+type Ledger struct {
+	pool     string
+	policy   *Policy
+	loaded   bool
+	holdings map[string]*holding
+}
+
+// A holding is one customer's part in the pool.
+type holding struct {
+	account  Account
+	revision pointport.Revision // zero while there is no account
+	use      Use
+	// lowered is the version by which the cap was last seen lowered, zero if it was not.
+	lowered int64
+	// excess is since when more is held than is needed, zero while it is not.
+	excess time.Time
+	// changing says that a change of the account is under way.
+	changing bool
+	// pledge is the row of a change that may have been made, or may yet be, and gives
+	// something back; nil if there is none. It stands until the account is seen to have
+	// changed, since no change can be made of an older state.
+	pledge *pointport.Shape
+	// unsure says that a change of this state of the account may still be made.
+	unsure bool
+}
+
+// own returns what the pool surely holds.
+func (h *holding) own(pool string) pointport.Shape {
+	held := h.account.Rows[pool].Held
+	if h.pledge != nil {
+		held = least(held, *h.pledge)
+	}
+	return held
+}
+
+// set takes in what the store has.
+func (h *holding) set(a Account, at pointport.Revision) {
+	h.account, h.revision, h.pledge, h.unsure = a, at, nil, false
+}
+
+// NewLedger returns the ledger of a pool's owner, which must hear of the accounts before it
+// allows anything.
+func NewLedger(pool string) *Ledger {
+	return &Ledger{pool: pool, holdings: make(map[string]*holding)}
+}
+
+// SetPolicy takes in the newest configuration.
+func (l *Ledger) SetPolicy(p *Policy) {
+	if p == l.policy {
+		return
+	}
+	l.policy = p
+	for name, t := range p.terms {
+		h := l.holding(name)
+		h.lowered = max(h.lowered, t.Lowered)
+	}
+}
+
+func (l *Ledger) holding(name string) *holding {
+	h := l.holdings[name]
+	if h == nil {
+		h = &holding{}
+		l.holdings[name] = h
+	}
+	return h
+}
+
+// settled reports whether the owners of all pools have told what they use under the cap as
+// it was lowered last.
+func (l *Ledger) settled(h *holding) bool {
+	return h.lowered == 0 || h.account.told(h.lowered, l.policy.pools)
+}
+
+// Reset takes in all accounts. It returns the first that cannot be read, if any; what such a
+// one held counts as held by nobody, since nobody can use it.
+func (l *Ledger) Reset(entries []pointport.Entry) error {
+	there := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		there[e.Key()] = true
+	}
+	for name, h := range l.holdings {
+		if !there[Key(name)] && !h.changing {
+			h.set(Account{}, 0)
+		}
+	}
+	l.loaded = true
+	return l.Apply(entries)
+}
+
+// Apply takes in changed accounts.
+func (l *Ledger) Apply(entries []pointport.Entry) error {
+	var first error
+	for _, e := range entries {
+		if err := l.take(e); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (l *Ledger) take(e pointport.Entry) error {
+	name, ok := ParseKey(e.Key())
+	if !ok {
+		return nil
+	}
+	h := l.holding(name)
+	if e.Exists() && e.Revision() <= h.revision {
+		return nil // what is known is newer
+	}
+	if !e.Exists() {
+		h.set(Account{}, 0)
+		return nil
+	}
+	a, err := decodeAccount(e.Value())
+	h.set(a, e.Revision())
+	if err != nil {
+		return &AccountError{Customer: name, Err: err}
+	}
+	h.lowered = max(h.lowered, a.Lowered)
+	return nil
+}
+
+// An AccountError says that a stored account cannot be read.
+type AccountError struct {
+	Customer string
+	Err      error
+}
+
+func (e *AccountError) Error() string { return "account of " + e.Customer + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AccountError) Unwrap() error { return e.Err }
+
+// SetUse takes in what the pool uses of a customer's cap.
+func (l *Ledger) SetUse(name string, u Use) { l.holding(name).use = u }
+
+// Allowed returns how much of each cap the pool may use, by customer; customers that are
+// not in it have none.
+func (l *Ledger) Allowed() map[string]pointport.Shape {
+	if !l.policy.Limited() {
+		return nil
+	}
+	out := make(map[string]pointport.Shape, len(l.policy.terms))
+	for name, t := range l.policy.terms {
+		out[name] = l.allowed(l.holding(name), t)
+	}
+	return out
+}
+
+func (l *Ledger) allowed(h *holding, t Terms) pointport.Shape {
+	if !l.loaded {
+		return t.bounded(pointport.Shape{})
+	}
+	if !l.settled(h) || !l.fits(h, t) {
+		return t.bounded(pointport.Shape{})
+	}
+	return t.bounded(t.Even.Plus(h.own(l.pool)))
+}
+
+// fits reports whether what all pools hold fits into what floats.
+func (l *Ledger) fits(h *holding, t Terms) bool {
+	return t.bounded(t.Floating).Fits(h.account.held(l.policy.pools, ""))
+}
+
+// Changes returns what is to be stored now, at most so many, and notes that it is under
+// way until Changed is told.
+func (l *Ledger) Changes(now time.Time, atMost int) []Change {
+	if !l.loaded || !l.policy.Limited() {
+		return nil
+	}
+	var names []string
+	for name := range l.policy.terms {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var out []Change
+	for _, name := range names {
+		if len(out) == atMost {
+			break
+		}
+		h := l.holding(name)
+		if h.changing {
+			continue
+		}
+		row, due := l.next(now, h, l.policy.terms[name])
+		if !due {
+			continue
+		}
+		h.changing = true
+		if !row.Held.Fits(h.own(l.pool)) {
+			given := least(row.Held, h.own(l.pool))
+			h.pledge = &given
+		}
+		out = append(out, Change{
+			Customer: name, Key: Key(name), Revision: h.revision,
+			Value: h.account.with(l.pool, row, h.lowered).encode(),
+		})
+	}
+	return out
+}
+
+// next returns the row that the pool should have, and whether that is to be stored.
+func (l *Ledger) next(now time.Time, h *holding, t Terms) (Row, bool) {
+	own := h.own(l.pool)
+	beyond := limitedTo(t, aboveZero(h.use.Used.Minus(t.Even)))
+	room := aboveZero(t.Floating.Minus(h.account.held(l.policy.pools, l.pool)))
+	goalOf := func(percent int64) pointport.Shape {
+		wanted := least(h.use.Used.Plus(h.use.Wanted), t.bounded(t.Cap))
+		return limitedTo(t, most(beyond, least(aboveZero(scale(wanted, percent).Minus(t.Even)), room)))
+	}
+	goal := goalOf(holdPercent)
+	h.noteExcess(now, t, goal, own)
+	grows := !own.Fits(goalOf(growPercent))
+	shrinks := !h.excess.IsZero() && (now.Sub(h.excess) >= keepTime || !l.fits(h, t))
+	tells := h.lowered > h.account.Rows[l.pool].Version
+	switch {
+	case !grows && !shrinks && !tells:
+		return Row{}, false
+	case !shrinks:
+		goal = most(goal, own)
+	}
+	return Row{Version: l.policy.version, Held: goal}, true
+}
+
+// noteExcess notes whether more is held than should be, by so much that it is worth a call.
+func (h *holding) noteExcess(now time.Time, t Terms, goal, held pointport.Shape) {
+	step := each(t.Floating, t.Floating, func(f, _ int64) int64 { return f / leastStep })
+	switch {
+	case goal.Plus(step).Fits(held) && (goal != pointport.Shape{} || held == pointport.Shape{}):
+		h.excess = time.Time{}
+	case h.excess.IsZero():
+		h.excess = now
+	}
+}
+
+// An Outcome says what became of a change.
+type Outcome uint8
+
+// The outcomes of a change.
+const (
+	Made    Outcome = iota
+	NotMade         // and it never will be; Apply is told what the store has, if that is known
+	Unsure          // it may have been made, or may be yet
+)
+
+// Changed takes in what became of a change; at is the revision at which it was made.
+func (l *Ledger) Changed(c Change, at pointport.Revision, o Outcome) {
+	h := l.holding(c.Customer)
+	h.changing = false
+	switch {
+	case o == Unsure && h.revision == c.Revision:
+		h.unsure = true
+	case o == NotMade && h.revision == c.Revision && !h.unsure:
+		h.pledge = nil
+	case o == Made && at > h.revision:
+		a, err := decodeAccount(c.Value)
+		if err != nil {
+			panic("quota: what was encoded here can be read: " + err.Error())
+		}
+		h.set(a, at)
+		h.excess = time.Time{}
+		h.lowered = max(h.lowered, a.Lowered)
+	}
+}
+
+// limitedTo returns a shape without the parts that have no bound.
+func limitedTo(t Terms, s pointport.Shape) pointport.Shape {
+	return each(t.Cap, s, func(limit, v int64) int64 {
+		if limit == 0 {
+			return 0
+		}
+		return v
+	})
+}
+
+// aboveZero returns a shape without the parts that are below zero.
+func aboveZero(s pointport.Shape) pointport.Shape { return most(s, pointport.Shape{}) }
+
+// scale returns some percent of a shape.
+func scale(s pointport.Shape, percent int64) pointport.Shape {
+	return each(s, s, func(v, _ int64) int64 { return v * percent / 100 })
+}
