A test's customers ask a node that was not killed

Cause: the killed owner may be n0, and the test submits there right after its new process has started. Without a lease the node tells customers to come back, which is right. Change: the load goes to another node; nothing else of the test changes.

--- a/node/capacity_test.go
+++ b/node/capacity_test.go
@@ -44,7 +44,7 @@
 				if name := c.owner("shift"); owners == "die" {
 					c.kill(name)
 					c.start(name)
-					n = c.nodes["n0"].node
+					n = c.another(name)
 				}
 				load(8 * time.Second)
 				for _, id := range c.fleet.IDs() {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -420,6 +420,20 @@
 	}
 }
 
+// another returns a node that is not the one named. One that has just been started has no
+// lease yet, and rightly tells customers to come back.
+func (c *cluster) another(name string) *node.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other, r := range c.nodes {
+		if other != name {
+			return r.node
+		}
+	}
+	c.t.Fatalf("there is no node but %s", name)
+	return nil
+}
+
 // stop ends a node as planned.
 func (c *cluster) stop(name string) {
 	c.mu.Lock()
