Keep what customers have running within their caps, over all pools and owners

Tasks that wait for a cap want no room and preempt nobody. With a configuration that may be out of date nothing of a customer with a cap starts.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -138,6 +138,9 @@
 	InstanceResized = define(542, "instance resized", slog.LevelInfo, "An instance says that it holds more or less than before, while it runs; free below zero says that nothing is started there until enough has ended.")
 	CallerRefused   = define(543, "caller refused", slog.LevelInfo, "A call was refused because the key that it showed is nobody's, or because it showed none; key is its fingerprint, version that of the configuration.",
 		splits("reason", "missing", "malformed", "twice", "unknown"))
-	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
-	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+	CapReached      = define(544, "customer at its cap", slog.LevelInfo, "Tasks of a customer wait because they would take more than may be used of its cap in this pool; used, allowed and heldBack say how much. It is told again every few seconds.")
+	CapMoved        = define(545, "cap moved", slog.LevelInfo, "An owner holds another part of a customer's cap than before for its pool, or has told what it uses of a lowered one; made says whether that is stored, and took how long it took.", splits("made", "true", "false"), times("took"))
+	QuotaUnreadable = define(546, "quota account unreadable", slog.LevelError, "What the pools hold of a customer's cap cannot be read; it counts as nothing held.")
+	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
+	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/node/follow.go
+++ b/node/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/quota"
 	"github.com/pointport/pointport/steward"
 	"github.com/pointport/pointport/workload"
 )
@@ -41,6 +42,7 @@
 	clock   pointport.Clock
 	logger  *slog.Logger
 	current atomic.Pointer[workload.Catalog]
+	quotas  atomic.Pointer[quota.Policy]
 
 	mu        sync.Mutex
 	confirmed clocks.Interval // since the version in force was last known to be the newest
@@ -102,6 +104,7 @@
 	if old := c.Catalog(); old != nil && next.Version <= old.Version {
 		return
 	}
+	c.quotas.Store(quota.NewPolicy(c.quotas.Load(), next.Customers, next.WorkPools(), next.Version))
 	c.current.Store(next)
 	event.ConfigApplied.Log(c.logger, slog.Int64("version", next.Version), slog.Int64("revision", int64(e.Revision())),
 		slog.Int("queues", len(next.Queues)), slog.Int("pools", len(next.Pools)))
@@ -132,6 +135,12 @@
 	return nil, 0
 }
 
+// caps returns what the configuration in force says of customers' caps, and whether it was
+// known to be the newest so lately that a lowered cap cannot have come into force since.
+func (c *configs) caps() (policy *quota.Policy, fresh bool) {
+	return c.quotas.Load(), c.age() < configLate
+}
+
 // workPools returns the pools that need an owner.
 func (c *configs) workPools() []string {
 	if k := c.Catalog(); k != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -192,7 +192,7 @@
 	s := n.services
 	services := shard.Services{
 		KV: s.KV, Executor: s.Executor, Advisor: s.Advisor, Clock: s.Clock, Session: n.session, Fleet: n.fleet,
-		Delegates: n.delegates,
+		Delegates: n.delegates, Quotas: n.configs.caps,
 	}
 	return func(own member.Ownership) *shard.Owner {
 		return shard.Start(ctx, services, own, n.logger, shard.WithLease(n.params.TaskLease),
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -32,8 +32,10 @@
 
 // An entry is a job in the book.
 type entry struct {
-	job  *workload.Job
-	runs map[workload.TaskRef]*Run
+	job *workload.Job
+	// account is the customer's, nil for nobody's.
+	account *account
+	runs    map[workload.TaskRef]*Run
 	// ready lists the tasks whose turn has come; stale says that it must be made
 	// anew.
 	ready []waiting
@@ -93,6 +95,11 @@
 	crashedHealth map[pointport.InstanceID]health
 	over          map[string]finished
 
+	// accounts holds what is known of customers, allowed how much of their caps may be used
+	// here.
+	accounts map[string]*account
+	allowed  map[string]pointport.Shape
+
 	learned  *estimates
 	arrivals arrivals
 	far      farRooms
@@ -135,6 +142,7 @@
 		crashedHealth: make(map[pointport.InstanceID]health),
 		workers:       make(map[pointport.IncarnationID]*Worker),
 		over:          make(map[string]finished),
+		accounts:      make(map[string]*account),
 		learned:       newEstimates(),
 		dirty:         make(map[*entry]bool),
 		hungry:        make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
@@ -155,9 +163,9 @@
 	if _, ok := b.over[j.ID()]; ok {
 		return false
 	}
-	e := &entry{job: j, runs: make(map[workload.TaskRef]*Run), begun: j.Begun()}
+	e := &entry{job: j, account: b.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun()}
 	b.jobs[j.ID()] = e
-	if !j.Begun() && j.Spec().Recur.Times == 0 {
+	if !j.Begun() && j.Spec().Recur.Times == 0 && !e.account.atCap() {
 		b.arrivals.add(now, j, b.learned)
 	}
 	if j.Spec().Recur.Times > 0 {
@@ -213,6 +221,7 @@
 	r.suspected, r.quarantined, r.apartFor = e.suspected(ref), e.quarantines(ref), e.apartFor(ref)
 	e.runs[ref] = r
 	w.take(r)
+	e.account.started(r.step().Need)
 	if e.job.Policy().Priority > 0 {
 		b.lowRuns++
 	}
@@ -374,8 +383,11 @@
 
 // forget removes a run from its job and its worker.
 func (b *Book) forget(r *Run) {
-	if r.worker.runs[r.name] == r && r.entry.job.Policy().Priority > 0 {
-		b.lowRuns--
+	if r.worker.runs[r.name] == r {
+		r.entry.account.ended(r.step().Need)
+		if r.entry.job.Policy().Priority > 0 {
+			b.lowRuns--
+		}
 	}
 	if r.abandoned {
 		r.entry.abandoned[r.ref]--
--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -19,9 +19,11 @@
 // An Explanation says how a job stands and why. Its fields are exported because
 // a codec reads and writes them.
 type Explanation struct {
-	Job    string          `json:"job"`
-	Queue  string          `json:"queue"`
-	Status workload.Status `json:"status"`
+	Job string `json:"job"`
+	// Customer is the name of whose the job is, empty for nobody's.
+	Customer string          `json:"customer,omitempty"`
+	Queue    string          `json:"queue"`
+	Status   workload.Status `json:"status"`
 	// Latest is when the job's next tasks must start for it to end in time.
 	Latest time.Time         `json:"latest,omitzero"`
 	Late   bool              `json:"late,omitempty"`
@@ -46,13 +48,13 @@
 // Explain says how a job stands and why; false if the book does not know it.
 func (b *Book) Explain(now time.Time, id string) (Explanation, bool) {
 	if f, ok := b.over[id]; ok {
-		return Explanation{Job: id, Status: f.status}, true
+		return Explanation{Job: id, Customer: f.customer, Status: f.status}, true
 	}
 	e, ok := b.jobs[id]
 	if !ok {
 		return Explanation{}, false
 	}
-	x := Explanation{Job: id, Queue: e.job.Queue(), Status: e.job.Status()}
+	x := Explanation{Job: id, Customer: e.job.Customer(), Queue: e.job.Queue(), Status: e.job.Status()}
 	b.refresh(e)
 	if len(e.ready) > 0 {
 		s := b.stand(now, e)
@@ -125,6 +127,10 @@
 		}
 	}
 	need := t.step.Room()
+	if a := t.entry.account; !a.affords(t.step.Need) {
+		return fmt.Sprintf("%d tasks wait for the cap of %s: its tasks take %d thousandths of a core and %d MiB here, and may take %d and %d",
+			tasks, a.name, a.used.CPUMilli, a.used.MemoryMiB, a.allowed.CPUMilli, a.allowed.MemoryMiB)
+	}
 	switch {
 	case len(workers) == 0:
 		return fmt.Sprintf("%d tasks wait: no instance of the pool can be used%s", tasks, b.explainBarred(now))
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -21,6 +21,7 @@
 	b.begin(now)
 	b.relocate(now)
 	b.tendGangs(now)
+	b.forgetHeldBack()
 	if len(b.hungry) == 0 {
 		return
 	}
@@ -99,6 +100,10 @@
 	for n := 0; n < len(e.ready); {
 		group := gangOf(e.ready[n:])
 		n += len(group)
+		if !e.account.affords(times(group[0].step.Need, len(group))) {
+			p.book.holdBack(p.now, group)
+			continue
+		}
 		ok := false
 		if group[0].step.Gang {
 			ok = p.placeGang(group)
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -104,9 +104,13 @@
 		b.soon[id] = true
 	}
 	var s Survey
+	afford := b.afford()
 	for e := range b.hungry {
 		b.refresh(e)
 		for _, t := range e.ready {
+			if !afford(t) {
+				continue // room would not help it
+			}
 			room := t.step.Room()
 			s.Waiting = s.Waiting.Plus(room)
 			if e.standing.class == classLate {
@@ -156,7 +160,7 @@
 	workers := b.usable(now)
 	for e := range b.hungry {
 		for _, t := range e.ready {
-			if (t.step.MaxPerInstance > 0 || len(e.wary) > 0 || len(e.crashed) > 0) && b.bestOf(now, t, workers) == nil {
+			if e.account.affords(t.step.Need) && (t.step.MaxPerInstance > 0 || len(e.wary) > 0 || len(e.crashed) > 0) && b.bestOf(now, t, workers) == nil {
 				crowded[group{t.entry, t.ref.K, t.ref.Step}]++
 			}
 		}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -22,6 +22,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/member"
+	"github.com/pointport/pointport/quota"
 	"github.com/pointport/pointport/schedule"
 )
 
@@ -77,6 +78,9 @@
 	Clock   pointport.Clock
 	Session *member.Session
 	Fleet   Incarnations
+	// Quotas returns what the configuration says of customers' caps, and whether that is
+	// surely not out of date; nil if nobody has a cap.
+	Quotas func() (policy *quota.Policy, fresh bool)
 	// Delegates returns a way to the instances of a pool through peers, until ctx ends;
 	// nil if there is none.
 	Delegates func(ctx context.Context, pool string) pointport.Executor
@@ -94,6 +98,7 @@
 	clock      pointport.Clock
 	session    *member.Session
 	fleet      Incarnations
+	quotas     func() (*quota.Policy, bool)
 	logger     *slog.Logger
 	own        member.Ownership
 	lease      time.Duration
@@ -126,6 +131,7 @@
 	lag      lag
 	waiters  []waiter
 	removals []string
+	caps     *caps
 	cancel   context.CancelFunc
 }
 
@@ -154,7 +160,7 @@
 func Start(ctx context.Context, s Services, own member.Ownership, logger *slog.Logger, options ...Option) *Owner {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &Owner{
-		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, own: own,
+		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, quotas: s.Quotas, own: own,
 		logger: logger.With(slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence))),
 		lease:  DefaultLease, gangTime: defaultGangTime, far: defaultFar,
 		inbox: make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
@@ -259,11 +265,13 @@
 	o.planned = now
 	if o.own.Proven() {
 		o.book.LimitUnsent(o.unsentMost())
+		o.applyCaps(ctx)
 		o.book.Plan(now)
 		cost := o.clock.Now().Sub(now)
 		o.turnGap = min(max(turnGap, turnShare*cost), turnGapMost)
 		o.consult(ctx, now)
 		o.write(ctx, now)
+		o.moveCaps(ctx, now)
 		o.delegate(now)
 		o.send(ctx)
 	}
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -363,6 +363,23 @@
 	return n
 }
 
+// RunningTasks returns the names of the tasks that run, one for each run.
+func (f *Fleet) RunningTasks() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, i := range f.lives {
+		i.advance(f.clock.Now())
+		if i.over {
+			continue
+		}
+		for task := range i.runs {
+			out = append(out, task)
+		}
+	}
+	return out
+}
+
 // Size returns how many machines of a pool are on.
 func (f *Fleet) Size(pool string) int {
 	f.mu.Lock()
