Trial: customers beyond their part of a full pool wait behind others

Change: among jobs that stand as well, those of a customer whose dominant share of the pool is above its part of the weights wait behind the others; what has begun goes on, nothing idles.

--- a/quota/policy.go
+++ b/quota/policy.go
@@ -7,7 +7,7 @@
 	"github.com/pointport/pointport/customer"
 )
 
-// This file defines what the configuration says of caps.
+// This file defines what the configuration says of caps and weights.
 
 // evenShare is the divisor of the part of a cap that is split evenly over the pools. With a
 // quarter, a customer whose work comes to one pool of four at a time can use 0.81 of its cap
@@ -71,13 +71,15 @@
 	version int64
 	pools   []string
 	terms   map[string]Terms // of the customers that have a cap
+	weights map[string]float64
 }
 
 // NewPolicy returns the policy of a version of the configuration whose work is done in
 // pools; before is the one of the version before, nil if it is not known.
 func NewPolicy(before *Policy, customers *customer.Directory, pools []string, version int64) *Policy {
-	p := &Policy{version: version, pools: slices.Clone(pools), terms: make(map[string]Terms)}
+	p := &Policy{version: version, pools: slices.Clone(pools), terms: make(map[string]Terms), weights: make(map[string]float64)}
 	for _, c := range customers.All() {
+		p.weights[c.Name] = c.Weight
 		t := termsOf(c.Cap, len(pools))
 		if !t.limited() {
 			continue
@@ -100,6 +102,14 @@
 // Limited reports whether any customer has a cap.
 func (p *Policy) Limited() bool { return p != nil && len(p.terms) > 0 }
 
+// Weights returns the customers' weights by name. They must not be changed.
+func (p *Policy) Weights() map[string]float64 {
+	if p == nil {
+		return nil
+	}
+	return p.weights
+}
+
 // Terms returns what holds for a customer; false if it has no cap.
 func (p *Policy) Terms(name string) (Terms, bool) {
 	if p == nil {
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -99,6 +99,7 @@
 	// here.
 	accounts map[string]*account
 	allowed  map[string]pointport.Shape
+	weights  map[string]float64
 
 	learned  *estimates
 	arrivals arrivals
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -35,12 +35,13 @@
 	}
 	p := placement{book: b, now: now, workers: workers}
 	b.scarce = scarceLabels(queue)
-	for _, e := range queue {
+	b.inTurn(b.sharesOf(workers, queue), queue, func(e *entry) bool {
 		if b.decidedFull() {
-			return
+			return false
 		}
 		p.placeAll(e)
-	}
+		return true
+	})
 }
 
 // scarceLabels returns the labels that waiting tasks require.
--- a/shard/caps.go
+++ b/shard/caps.go
@@ -42,6 +42,7 @@
 		return
 	}
 	policy, fresh := o.quotas()
+	o.book.SetWeights(policy.Weights())
 	if o.caps == nil && !policy.Limited() {
 		return
 	}
