Trial: a customer's jobs are refused at once while what it has waiting takes too long

A job that was accepted before is not refused. Test: while one of five customers storms, it alone is refused, and no longer than its backlog.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -141,6 +141,8 @@
 	CapReached      = define(544, "customer at its cap", slog.LevelInfo, "Tasks of a customer wait because they would take more than may be used of its cap in this pool; used, allowed and heldBack say how much. It is told again every few seconds.")
 	CapMoved        = define(545, "cap moved", slog.LevelInfo, "An owner holds another part of a customer's cap than before for its pool, or has told what it uses of a lowered one; made says whether that is stored, and took how long it took.", splits("made", "true", "false"), times("took"))
 	QuotaUnreadable = define(546, "quota account unreadable", slog.LevelError, "What the pools hold of a customer's cap cannot be read; it counts as nothing held.")
+	CustomerExcess  = define(547, "customer in excess", slog.LevelInfo, "What a customer has waiting in a pool takes longer, at its part of it, than its jobs are of use, so members refuse more of them; or no longer, as refused says.", splits("refused", "true", "false"))
+	JobExcess       = define(548, "job in excess", slog.LevelInfo, "A job was refused at once, and never runs, because its customer has too much waiting in its pool; after says when it was told to come back.")
 	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
 	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -41,7 +41,10 @@
 type Owners interface {
 	// Submitted tells a pool's owner of a job that was accepted by the change
 	// that made revision at. It does not wait.
-	Submitted(pool, id string, accepted []byte, at pointport.Revision)
+	Submitted(pool, id, customer string, accepted []byte, at pointport.Revision)
+	// Excess returns for how long a pool's owner wants no more jobs of a customer, zero if
+	// it does. It does not wait.
+	Excess(pool, customer string) time.Duration
 	// Cancel has a pool's owner cancel a job; false if it does not know the job, or the
 	// caller may not.
 	Cancel(ctx context.Context, pool, id string, by customer.Caller) (bool, error)
@@ -132,6 +135,18 @@
 
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
 
+// An ExcessError says that a job was not taken, and never runs, because what its customer has
+// waiting already takes longer than any of it is of use.
+type ExcessError struct {
+	ID       string
+	Customer string
+	After    time.Duration // when to come back
+}
+
+func (e *ExcessError) Error() string {
+	return fmt.Sprintf("job %s is not taken: what %s has waiting already takes too long; come back in %v", e.ID, e.Customer, e.After)
+}
+
 // A TakenError says that a job was not taken because its identity is another customer's.
 type TakenError struct {
 	ID string
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -41,13 +41,16 @@
 	}, nil
 }
 
-// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError, a
-// *RevokedError, a *TakenError or an *UnsureError.
+// Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError, an
+// *ExcessError, a *RevokedError, a *TakenError or an *UnsureError.
 func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
 	if err := spec.Check(); err != nil {
 		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
 	}
+	if err := d.inExcess(ctx, q, id); err != nil {
+		return err
+	}
 	accepted, err := workload.New(id, q.Name, q.Policy, spec, d.clock.Now(), workload.Of(d.caller.Name)).EncodeAccepted()
 	if err != nil {
 		return err
@@ -66,6 +69,22 @@
 	return err
 }
 
+// inExcess refuses a job of which its customer has too many already. One that was accepted
+// before, and whose customer has not heard so, is none more: what is refused never runs. It
+// fails with an *ExcessError.
+func (d *Desk) inExcess(ctx context.Context, q *workload.Queue, id string) error {
+	after := d.owners.Excess(q.Pool, d.caller.Name)
+	if after <= 0 {
+		return nil
+	}
+	var unknown *UnknownJobError
+	if _, err := d.record(ctx, id); !errors.As(err, &unknown) {
+		return nil
+	}
+	event.JobExcess.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.String("customer", d.caller.Name), slog.Duration("after", after))
+	return &ExcessError{ID: id, Customer: d.caller.Name, After: after}
+}
+
 // handOn has a peer keep a job that this member could not. cause is why; if it
 // leaves open whether the job is kept, only an acceptance makes that sure.
 func (d *Desk) handOn(ctx context.Context, s Submission, cause error) error {
@@ -118,7 +137,7 @@
 	event.JobAccepted.Log(d.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
 		slog.Bool("known", kept.before), slog.Duration("took", d.clock.Now().Sub(now)))
 	if kept.open {
-		d.owners.Submitted(s.Pool, s.ID, s.Accepted, kept.at)
+		d.owners.Submitted(s.Pool, s.ID, s.By.Name, s.Accepted, kept.at)
 	}
 	return nil
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -71,6 +71,8 @@
 	Known  bool            `json:"known,omitempty"`
 	Status workload.Status `json:"status,omitempty"`
 	Count  int             `json:"count,omitempty"`
+	// Excess is for how long no more jobs of the customer are wanted.
+	Excess time.Duration   `json:"excess,omitempty"`
 	Survey schedule.Survey `json:"survey,omitzero"`
 	// Explanation says how a job stands and why.
 	Explanation schedule.Explanation `json:"explanation,omitzero"`
@@ -95,6 +97,7 @@
 	timeout time.Duration
 	resting *recent // peers that are left alone for a while
 	served  *recent // peers that have stored a job lately
+	crowded *crowded
 	logger  *slog.Logger
 }
 
@@ -103,7 +106,7 @@
 // NewOwners returns a way to the owners: those that keeper runs, and others as
 // the roster names them.
 func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, clock pointport.Clock, logger *slog.Logger) *Owners {
-	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newRecent(clock), served: newRecent(clock), logger: logger}
+	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newRecent(clock), served: newRecent(clock), crowded: newCrowded(clock), logger: logger}
 }
 
 // ask puts a question to the owner of its pool on another instance.
@@ -139,17 +142,20 @@
 	return r, json.NewDecoder(res.Body).Decode(&r)
 }
 
-// Submitted tells a pool's owner of an accepted job.
-func (o *Owners) Submitted(pool, id string, accepted []byte, at pointport.Revision) {
+// Submitted tells a pool's owner of an accepted job, and takes in whether it wants more of
+// the customer.
+func (o *Owners) Submitted(pool, id, whose string, accepted []byte, at pointport.Revision) {
 	if local, ok := o.keeper.Tenant(pool); ok {
 		local.Submitted(id, accepted, at)
 		return
 	}
 	go func() {
-		_, err := o.ask(context.Background(), submittedPath, question{Pool: pool, Job: id, Accepted: accepted, At: at})
+		r, err := o.ask(context.Background(), submittedPath, question{Pool: pool, Job: id, By: customer.Caller{Name: whose}, Accepted: accepted, At: at})
 		if err != nil {
 			event.PeerSilent.Log(o.logger, slog.String("pool", pool), slog.String("job", id), slog.Any("error", err))
+			return
 		}
+		o.crowded.note(pool, whose, r.Excess)
 	}()
 }
 
@@ -240,7 +246,7 @@
 	}
 	handle(submittedPath, func(_ context.Context, o *shard.Owner, q question) (reply, error) {
 		o.Submitted(q.Job, q.Accepted, q.At)
-		return reply{Known: true}, nil
+		return reply{Known: true, Excess: o.Excess(q.By.Name)}, nil
 	})
 	handle(cancelPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
 		known, err := o.Cancel(ctx, q.Job, q.By)
--- a/schedule/share_test.go
+++ b/schedule/share_test.go
@@ -151,3 +151,36 @@
 	}
 	return c
 }
+
+// While a customer storms, the book says after a while that no more of its jobs are of use,
+// says so of nobody else, and stops when the backlog has gone.
+func TestExcessIsToldOfTheStormAlone(t *testing.T) {
+	c := newCrowd(20)
+	weights := map[string]float64{"c0": 1, "c1": 1, "c2": 1, "c3": 1, "c4": 1}
+	c.book.SetWeights(weights)
+	first, last := time.Duration(0), time.Duration(0)
+	for at := time.Duration(0); at < 40*time.Second; at += 20 * time.Millisecond {
+		if at%(500*time.Millisecond) == 0 && at < 20*time.Second {
+			for name := range weights {
+				c.submit(name)
+			}
+		}
+		excess := c.book.Excess(c.now)
+		if at >= 4*time.Second && at < 14*time.Second && excess["c0"] == 0 {
+			c.submit("c0") // 50 a second, where the pool ends 20
+		}
+		for name, d := range excess {
+			if name != "c0" {
+				t.Fatalf("after %v, no more jobs of %s are wanted for %v", at, name, d)
+			}
+			if first == 0 {
+				first = at
+			}
+			last = at
+		}
+		c.step()
+	}
+	if first < 4*time.Second || first > 8*time.Second || last > 25*time.Second {
+		t.Errorf("no more jobs of the storm are wanted from %v to %v, want from after 4 s and soon to its end", first, last)
+	}
+}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -132,6 +132,9 @@
 	waiters  []waiter
 	removals []string
 	caps     *caps
+	// excess holds for how long no more jobs of customers are wanted, as of reckoned.
+	excess   atomic.Pointer[map[string]time.Duration]
+	reckoned time.Time
 	cancel   context.CancelFunc
 }
 
@@ -267,6 +270,7 @@
 		o.book.LimitUnsent(o.unsentMost())
 		o.applyCaps(ctx)
 		o.book.Plan(now)
+		o.reckonExcess(now)
 		cost := o.clock.Now().Sub(now)
 		o.turnGap = min(max(turnGap, turnShare*cost), turnGapMost)
 		o.consult(ctx, now)
