Explain customers; refuse what can never fit its customer's cap

pointport workload customer NAME, GET /v1/customers/NAME and explain job say whose a job is, what its customer uses and may use in each pool, its share and part, and who comes first. A gang or a task that is beyond the cap at once is refused with the field and the reason.

--- a/cli/workload.go
+++ b/cli/workload.go
@@ -28,7 +28,7 @@
 
 // Workload returns the subcommand that hands in and follows jobs of several steps.
 func Workload() *Command {
-	c := newCommand("workload", "submit [ID] | get ID | explain ID | cancel ID | queues", "hand in, follow, explain and cancel jobs of several steps")
+	c := newCommand("workload", "submit [ID] | get ID | explain ID | cancel ID | queues | customer NAME", "hand in, follow, explain and cancel jobs of several steps")
 	f := &workloadFlags{}
 	f.define(c)
 	c.set.String(&f.queue, "queue", "", "queue of the job")
@@ -48,8 +48,10 @@
 	switch {
 	case verb == "queues" && len(args) == 1:
 		return f.queues(ctx, out)
+	case verb == "customer" && len(args) == 2:
+		return f.customer(ctx, out, args[1])
 	case !slices.Contains([]string{"submit", "get", "explain", "cancel"}, verb):
-		return &UsageError{fmt.Sprintf("%q: must be one of submit, get, explain, cancel, queues", verb)}
+		return &UsageError{fmt.Sprintf("%q: must be one of submit, get, explain, cancel, queues, customer", verb)}
 	case len(args) != 2:
 		return &UsageError{"want the identity of a job, 16 hexadecimal digits"}
 	case f.queue == "":
@@ -114,6 +116,9 @@
 
 func printExplanation(w io.Writer, x *schedule.Explanation) {
 	fmt.Fprintf(w, "job %s in queue %s: %s\n", x.Job, x.Queue, x.Status)
+	if x.Customer != "" {
+		fmt.Fprintf(w, "  of customer %s\n", x.Customer)
+	}
 	if x.Late {
 		fmt.Fprintf(w, "  late: its next tasks should have started by %s\n", x.Latest.Format(time.RFC3339Nano))
 	}
@@ -136,6 +141,39 @@
 	}
 }
 
+func (f *workloadFlags) customer(ctx context.Context, out io.Writer, name string) error {
+	var s operator.CustomerState
+	if err := f.client().Call(ctx, http.MethodGet, "/v1/customers/"+url.PathEscape(name), nil, nil, &s); err != nil {
+		return err
+	}
+	return f.print(out, s, func(w io.Writer) { printCustomer(w, &s) })
+}
+
+func printCustomer(w io.Writer, s *operator.CustomerState) {
+	fmt.Fprintf(w, "customer %s: weight %g, %d keys, cap %s\n", s.Name, s.Weight, len(s.Keys), shapeText(s.Cap))
+	for _, x := range s.Pools {
+		fmt.Fprintf(w, "  pool %s: %d jobs, %d begun, %d late; uses %s, %.2f of the pool, of which %.2f is its part\n",
+			x.Pool, x.Jobs, x.Begun, x.Late, shapeText(x.Used), x.Share, x.Part)
+		if x.Capped {
+			fmt.Fprintf(w, "    may use %s of its cap here; %s wait for it\n", shapeText(x.Allowed), shapeText(x.HeldBack))
+		}
+		if x.Share > x.Part && x.Ahead > 0 {
+			fmt.Fprintf(w, "    is beyond its part: %d jobs of others come first\n", x.Ahead)
+		}
+		if x.Excess > 0 {
+			fmt.Fprintf(w, "    more of its jobs are refused for %v\n", x.Excess.Round(time.Millisecond))
+		}
+	}
+	for _, pool := range s.Silent {
+		fmt.Fprintf(w, "  pool %s: its owner gives no answer\n", pool)
+	}
+}
+
+// shapeText returns a shape as people read it.
+func shapeText(s pointport.Shape) string {
+	return fmt.Sprintf("%.1f cores and %d MiB", float64(s.CPUMilli)/1000, s.MemoryMiB)
+}
+
 func (f *workloadFlags) queues(ctx context.Context, out io.Writer) error {
 	var list []workload.Queue
 	if err := f.client().Call(ctx, http.MethodGet, "/v1/queues", nil, nil, &list); err != nil {
--- a/fleet.go
+++ b/fleet.go
@@ -49,6 +49,12 @@
 	return Shape{s.CPUMilli - t.CPUMilli, s.MemoryMiB - t.MemoryMiB, s.Accelerators - t.Accelerators}
 }
 
+// Times returns s so many times over.
+func (s Shape) Times(n int) Shape {
+	k := int64(n)
+	return Shape{s.CPUMilli * k, s.MemoryMiB * k, s.Accelerators * k}
+}
+
 // An Instance is one line of the platform's list. Its fields are exported
 // because a codec reads and writes them.
 type Instance struct {
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 
 	"github.com/pointport/pointport"
@@ -44,7 +45,7 @@
 // Submit accepts a job. It fails with a *workload.SpecError, a *RefusedError, an
 // *ExcessError, a *RevokedError, a *TakenError or an *UnsureError.
 func (d *Desk) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
-	if err := spec.Check(); err != nil {
+	if err := d.check(spec); err != nil {
 		event.JobInvalid.Log(d.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
 	}
@@ -69,6 +70,25 @@
 	return err
 }
 
+// check returns a *workload.SpecError if the job could never run: as it is, or because its
+// customer's cap is below what has to run at once.
+func (d *Desk) check(spec *workload.Spec) error {
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	customers, _ := d.customers()
+	c, ok := customers.Find(d.caller.Name)
+	if !ok {
+		return nil
+	}
+	for n := range spec.Steps {
+		if most := spec.Steps[n].AtOnce(); !c.Bears(most) {
+			return &workload.SpecError{Field: fmt.Sprintf("steps[%d].need", n), Value: most, Reason: fmt.Sprintf("must run at once and is beyond the cap of %s, %v", c.Name, c.Cap)}
+		}
+	}
+	return nil
+}
+
 // inExcess refuses a job of which its customer has too many already. One that was accepted
 // before, and whose customer has not heard so, is none more: what is refused never runs. It
 // fails with an *ExcessError.
--- a/node/customer_test.go
+++ b/node/customer_test.go
@@ -112,6 +112,34 @@
 	})
 }
 
+// What has to run at once and is beyond its customer's cap is refused with the reason, before
+// anything is stored; what may run bit by bit is not.
+func TestBeyondTheCapAtOnce(t *testing.T) {
+	bubble(t, 1, func(c *cluster) {
+		c.configure(&workload.Catalog{Version: 2, Customers: customers(capOf(3), "bistro")})
+		time.Sleep(2 * time.Second)
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		core := pointport.Shape{CPUMilli: 1000, MemoryMiB: 16}
+		cases := map[string]struct {
+			step  workload.Step
+			taken bool
+		}{
+			"00000000000000a1": {workload.Step{Count: 4, Need: core, Gang: true}, false},
+			"00000000000000a2": {workload.Step{Count: 1, Need: core.Times(4)}, false},
+			"00000000000000a3": {workload.Step{Count: 3, Need: core, Gang: true}, true},
+			"00000000000000a4": {workload.Step{Count: 8, Need: core}, true},
+		}
+		for id, k := range cases {
+			err := as(n, "bistro").Submit(context.Background(), q, id, &workload.Spec{Steps: []workload.Step{k.step}})
+			var field *workload.SpecError
+			if k.taken && err != nil || !k.taken && (!errors.As(err, &field) || field.Field != "steps[0].need") {
+				t.Errorf("job %s with %+v: %v", id, k.step, err)
+			}
+		}
+	})
+}
+
 // A member that the store does not serve hands a job on under a key that was taken away
 // meanwhile: the peer, which knows the newer configuration, refuses it.
 func TestPeerJudgesByNewerConfiguration(t *testing.T) {
--- a/operator/workloads.go
+++ b/operator/workloads.go
@@ -25,9 +25,25 @@
 	Status(ctx context.Context, q *workload.Queue, id string) (workload.Status, error)
 }
 
-// An Explainer says how a job stands and why; false if it does not know the job.
+// An Explainer says how jobs and customers stand and why.
 type Explainer interface {
+	// Explain says how a job stands; false if it does not know the job.
 	Explain(ctx context.Context, pool, id string) (schedule.Explanation, bool, error)
+	// ExplainCustomer says how a customer stands in a pool.
+	ExplainCustomer(ctx context.Context, pool, name string) (schedule.CustomerExplanation, error)
+}
+
+// A CustomerState is what the API says of a customer.
+type CustomerState struct {
+	Name   string          `json:"name"`
+	Weight float64         `json:"weight"`
+	Cap    pointport.Shape `json:"cap,omitzero"`
+	// Keys holds the fingerprints of its keys.
+	Keys []string `json:"keys"`
+	// Pools says how it stands in each pool whose owner has answered, Silent names the
+	// others.
+	Pools  []schedule.CustomerExplanation `json:"pools"`
+	Silent []string                       `json:"silent,omitempty"`
 }
 
 // A JobState is what the API says of a job.
@@ -54,6 +70,7 @@
 	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", a.answer(a.status))
 	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", a.answer(a.cancel))
 	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}/explanation", a.answer(a.explanation))
+	mux.HandleFunc("GET /v1/customers/{name}", a.answer(a.customer))
 	return mux
 }
 
@@ -163,6 +180,31 @@
 	return JobState{ID: id, Queue: q.Name, Status: workload.Cancelled}, nil
 }
 
+// customer says what the configuration has of a customer and how it stands in each pool.
+func (a *workloads) customer(r *http.Request) (any, error) {
+	name, k := r.PathValue("name"), a.catalog()
+	if k == nil {
+		return nil, &pointport.NotFoundError{Kind: "customer", Name: name}
+	}
+	c, ok := k.Customers.Find(name)
+	if !ok {
+		return nil, &pointport.NotFoundError{Kind: "customer", Name: name}
+	}
+	state := CustomerState{Name: name, Weight: c.Weight, Cap: c.Cap, Keys: []string{}, Pools: []schedule.CustomerExplanation{}}
+	for _, key := range c.Keys {
+		state.Keys = append(state.Keys, key.Fingerprint())
+	}
+	for _, pool := range k.WorkPools() {
+		x, err := a.explain.ExplainCustomer(r.Context(), pool, name)
+		if err != nil {
+			state.Silent = append(state.Silent, pool)
+			continue
+		}
+		state.Pools = append(state.Pools, x)
+	}
+	return state, nil
+}
+
 func (a *workloads) explanation(r *http.Request) (any, error) {
 	q, err := a.queue(r)
 	if err != nil {
--- a/operator/workloads_test.go
+++ b/operator/workloads_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/operator"
 	"github.com/pointport/pointport/schedule"
@@ -38,6 +39,13 @@
 	return schedule.Explanation{Job: id, Queue: pool, Status: workload.Running}, id == "00000000000000aa", nil
 }
 
+func (owners) ExplainCustomer(_ context.Context, pool, name string) (schedule.CustomerExplanation, error) {
+	if pool == "silent" {
+		return schedule.CustomerExplanation{}, errors.New("no owner")
+	}
+	return schedule.CustomerExplanation{Pool: pool, Customer: name, Jobs: 3}, nil
+}
+
 func TestWorkloads(t *testing.T) {
 	const document = "payload: p\nsteps:\n- {name: a, count: 2, need: {cpuMilli: 500}, estimate: 2s}\n- {name: b, count: 1, need: {cpuMilli: 500}, after: [a]}\n"
 	cases := []struct {
@@ -61,9 +69,16 @@
 		{"cancel", "DELETE", "/v1/queues/q/jobs/00000000000000aa", "", nil, 200, `"status":"cancelled"`},
 		{"explain", "GET", "/v1/queues/q/jobs/00000000000000aa/explanation", "", nil, 200, `"status":"running"`},
 		{"explain from the store", "GET", "/v1/queues/q/jobs/00000000000000bb/explanation", "", nil, 200, `"status":"completed"`},
+		{"customer", "GET", "/v1/customers/bistro", "", nil, 200, `"pool":"p","customer":"bistro"`},
+		{"customer's keys", "GET", "/v1/customers/bistro", "", nil, 200, `"keys":["` + customer.DigestOf("k").Fingerprint() + `"]`},
+		{"customer, an owner silent", "GET", "/v1/customers/bistro", "", nil, 200, `"silent":["silent"]`},
+		{"no such customer", "GET", "/v1/customers/cafe", "", nil, 404, `customer \"cafe\"`},
 		{"queues", "GET", "/v1/queues", "", nil, 200, `"Name":"q"`},
 	}
-	catalog := &workload.Catalog{Queues: []workload.Queue{{Name: "q", Pool: "p"}}}
+	catalog := &workload.Catalog{
+		Queues: []workload.Queue{{Name: "q", Pool: "p"}}, Pools: []workload.PoolInfo{{Name: "p"}, {Name: "silent"}},
+		Customers: customer.NewDirectory([]customer.Customer{{Name: "bistro", Keys: []customer.Digest{customer.DigestOf("k")}}}),
+	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			h := operator.NewWorkloads(&desk{err: c.err}, owners{}, func() *workload.Catalog { return catalog })
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,7 @@
 	waitingPath   = "/peer/waiting"
 	surveyPath    = "/peer/survey"
 	explainPath   = "/peer/explain"
+	standingPath  = "/peer/customer"
 	keepPath      = "/peer/keep"
 	servedPath    = "/peer/served"
 )
@@ -76,6 +77,8 @@
 	Survey schedule.Survey `json:"survey,omitzero"`
 	// Explanation says how a job stands and why.
 	Explanation schedule.Explanation `json:"explanation,omitzero"`
+	// Customer says how a customer stands.
+	Customer schedule.CustomerExplanation `json:"customer,omitzero"`
 	// Refused says that a job was not stored and never will be by this question,
 	// Unsure that this is not known.
 	Refused string `json:"refused,omitempty"`
@@ -204,6 +207,15 @@
 	return r.Explanation, r.Known, err
 }
 
+// ExplainCustomer asks a pool's owner how a customer stands.
+func (o *Owners) ExplainCustomer(ctx context.Context, pool, name string) (schedule.CustomerExplanation, error) {
+	if local, ok := o.keeper.Tenant(pool); ok {
+		return local.ExplainCustomer(ctx, name)
+	}
+	r, err := o.ask(ctx, standingPath, question{Pool: pool, By: customer.Caller{Name: name}})
+	return r.Customer, err
+}
+
 // A Store keeps jobs.
 type Store interface {
 	// Keep stores a job. It fails with an *intake.RefusedError or an
@@ -264,6 +276,10 @@
 		x, known, err := o.Explain(ctx, q.Job)
 		return reply{Known: known, Explanation: x}, err
 	})
+	handle(standingPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
+		x, err := o.ExplainCustomer(ctx, q.By.Name)
+		return reply{Customer: x}, err
+	})
 	handle(surveyPath, func(ctx context.Context, o *shard.Owner, q question) (reply, error) {
 		if q.Survey == nil {
 			return reply{}, errors.New("survey: missing")
--- a/schedule/customer.go
+++ b/schedule/customer.go
@@ -89,16 +89,10 @@
 // need no room.
 func (a *account) atCap() bool { return a != nil && a.heldBack != (pointport.Shape{}) }
 
-// times returns a shape so many times over.
-func times(s pointport.Shape, n int) pointport.Shape {
-	k := int64(n)
-	return pointport.Shape{CPUMilli: s.CPUMilli * k, MemoryMiB: s.MemoryMiB * k, Accelerators: s.Accelerators * k}
-}
-
 // holdBack notes that tasks that are placed together wait for the cap.
 func (b *Book) holdBack(now time.Time, group []waiting) {
 	a := group[0].entry.account
-	a.heldBack = a.heldBack.Plus(times(group[0].step.Need, len(group)))
+	a.heldBack = a.heldBack.Plus(group[0].step.Need.Times(len(group)))
 	if now.Sub(a.toldCap) < tellWaitEvery {
 		return
 	}
--- a/schedule/excess.go
+++ b/schedule/excess.go
@@ -85,7 +85,7 @@
 	spec := e.job.Spec()
 	for n := range spec.Steps {
 		step := &spec.Steps[n]
-		sum += shareTime(times(step.Room(), step.Count), capacity, b.learned.duration(e.job.Queue(), step))
+		sum += shareTime(step.Room().Times(step.Count), capacity, b.learned.duration(e.job.Queue(), step))
 	}
 	return sum
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -101,7 +101,7 @@
 	for n := 0; n < len(e.ready); {
 		group := gangOf(e.ready[n:])
 		n += len(group)
-		if !e.account.affords(times(group[0].step.Need, len(group))) {
+		if !e.account.affords(group[0].step.Need.Times(len(group))) {
 			p.book.holdBack(p.now, group)
 			continue
 		}
--- a/shard/load.go
+++ b/shard/load.go
@@ -204,6 +204,15 @@
 	return a.explanation, a.known, err
 }
 
+// ExplainCustomer says how a customer stands in the pool.
+func (o *Owner) ExplainCustomer(ctx context.Context, name string) (schedule.CustomerExplanation, error) {
+	return ask(ctx, o, func() schedule.CustomerExplanation {
+		x := o.book.ExplainCustomer(o.clock.Now(), name)
+		x.Pool = o.own.Pool
+		return x
+	})
+}
+
 // ask has the loop answer a question.
 func ask[T any](ctx context.Context, o *Owner, question func() T) (T, error) {
 	answer := make(chan T, 1)
--- a/workload/spec.go
+++ b/workload/spec.go
@@ -100,6 +100,15 @@
 	return need
 }
 
+// AtOnce returns what tasks of the step declare that have to run at the same time: all of a
+// gang, else one.
+func (s *Step) AtOnce() pointport.Shape {
+	if !s.Gang {
+		return s.Need
+	}
+	return s.Need.Times(s.Count)
+}
+
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Recur.Times) }
 
