--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -434,6 +436,14 @@
 	return nil
 }
 
+// any returns one of the nodes that run.
+func (c *cluster) any(n int) *node.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := slices.Sorted(maps.Keys(c.nodes))
+	return c.nodes[names[n%len(names)]].node
+}
+
 // stop ends a node as planned.
 func (c *cluster) stop(name string) {
 	c.mu.Lock()
