--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -30,7 +30,7 @@
 	value    []byte
 	owners   []*owner
 	// caps holds the caps that count, with when each stopped being the newest.
-	caps []cap
+	caps []countingCap
 	// late are changes that may yet be made.
 	late []lateChange
 }
@@ -41,7 +41,7 @@
 	quota.Change
 }
 
-type cap struct {
+type countingCap struct {
 	limit int64 // cores
 	until time.Time
 }
@@ -58,7 +58,7 @@
 }
 
 func newWorld(limit int64) *world {
-	w := &world{now: time.Unix(1000, 0), caps: []cap{{limit: limit}}}
+	w := &world{now: time.Unix(1000, 0), caps: []countingCap{{limit: limit}}}
 	for _, pool := range poolNames {
 		o := &owner{pool: pool, policy: quota.NewPolicy(nil, directory(cores(limit)), poolNames, 1)}
 		w.owners = append(w.owners, o)
@@ -102,7 +102,7 @@
 	if c.Revision != w.revision {
 		return false
 	}
-	w.revision += 1
+	w.revision++
 	w.value = c.Value
 	return true
 }
@@ -184,7 +184,7 @@
 				version++
 				limit = rapid.Int64Range(4, 200).Draw(t, "cap")
 				w.caps[len(w.caps)-1].until = w.now.Add(formerCounts)
-				w.caps = append(w.caps, cap{limit: limit})
+				w.caps = append(w.caps, countingCap{limit: limit})
 				for _, o := range w.owners {
 					o.next = quota.NewPolicy(o.policy, directory(cores(limit)), poolNames, version)
 					o.learnBy = w.now.Add(learnTime)
