A key that may have been put in since is not called nobody's

A member whose configuration is not known to be the newest for 2 s answered 401 to a key that it does not know; a caller with a new key would take that for final. It is told to come back (503). Test first: keys taken away and put in while an owner is killed and a node is cut off, strict and not; and the ingress by what is known of keys.

--- a/cli/join.go
+++ b/cli/join.go
@@ -135,9 +135,10 @@
 			Source: node.Source[capacity.Wave]{Prefix: platform.WavePrefix, Decode: platform.DecodeWave},
 			Status: platform.WaveStatus,
 		},
-		Ingress: func(d *intake.Desk, catalog func() *workload.Catalog, keysTrusted func() bool) http.Handler {
-			as := func(c customer.Caller) platform.Desk { return d.As(c) }
-			return platform.NewIngress(as, catalog, logger, platform.KeysTrusted(keysTrusted))
+		Ingress: func(n *node.Node) http.Handler {
+			as := func(c customer.Caller) platform.Desk { return n.Desk().As(c) }
+			keys := platform.KeyState{Trusted: n.KeysTrusted, Newest: n.KeysNewest}
+			return platform.NewIngress(as, n.Catalog, logger, platform.WithKeyState(keys))
 		},
 	}
 	if s.Machines != "" {
--- a/node/customer_test.go
+++ b/node/customer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/memory"
 	"github.com/pointport/pointport/node"
+	"github.com/pointport/pointport/platform"
 	"github.com/pointport/pointport/testbed"
 	"github.com/pointport/pointport/workload"
 )
@@ -21,7 +24,7 @@
 // This file tests whose jobs are whose on whole nodes.
 
 // keyOf returns the key of a customer of these tests.
-func keyOf(name string) customer.Digest { return customer.DigestOf("key of " + name) }
+func keyOf(name string) customer.Digest { return customer.DigestOf("key-of-" + name) }
 
 // customers returns customers with a key each and the caps given.
 func customers(caps map[string]pointport.Shape, names ...string) *customer.Directory {
@@ -164,7 +167,7 @@
 			t.Errorf("a key that is in force: %v", err)
 		}
 		time.Sleep(5 * time.Second)
-		if log := c.logs.about("key of"); log != "" {
+		if log := c.logs.about("key-of"); log != "" {
 			t.Errorf("a key is logged: %s", log)
 		}
 		if starts := c.logs.about("task placed"); strings.Contains(starts, "00000000000000aa") {
@@ -173,6 +176,68 @@
 	})
 }
 
+// A key that is taken away stops working at every node that reads the store within two seconds,
+// and one that is put in works, while owners are killed and a node is cut off from the store. A
+// node that is cut off goes on with the keys that it knows, or tells callers to come back where
+// operators are strict; it never says that a key is nobody's that is good. Within two seconds of
+// its return it knows the newest.
+func TestKeysTakenAwayAndPutIn(t *testing.T) {
+	const inForce = 2 * time.Second
+	for name, policy := range map[string]node.KeyPolicy{"strict": {Strict: true, Time: 3 * time.Second}, "not strict": {}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 4, func(c *cluster) {
+				ask := func(n *node.Node, key string) int {
+					desk := func(by customer.Caller) platform.Desk { return n.Desk().As(by) }
+					keys := platform.KeyState{Trusted: n.KeysTrusted, Newest: n.KeysNewest}
+					ingress := platform.NewIngress(desk, n.Catalog, n.Logger(), platform.WithKeyState(keys))
+					r := httptest.NewRequest(http.MethodGet, "http://example/shift/00000000000000aa", nil)
+					r.Header.Set("Authorization", "Token key-of-"+key)
+					w := httptest.NewRecorder()
+					ingress.ServeHTTP(w, r)
+					return w.Code
+				}
+				// what nodes that are in touch say to a key that is good, and to one that is not
+				const good, bad = http.StatusGone, http.StatusUnauthorized
+				expect := func(when, key string, want int, except string) {
+					for name, r := range c.nodes {
+						if got := ask(r.node, key); name != except && got != want {
+							t.Errorf("%s, %s answers %d to the key of %s, want %d", when, name, got, key, want)
+						}
+					}
+				}
+				c.configure(&workload.Catalog{Version: 2, Customers: customers(nil, "bistro", "cafe")})
+				time.Sleep(inForce)
+				expect("at first", "bistro", good, "")
+				expect("at first", "diner", bad, "")
+				owner := c.owner("shift")
+				cut := "n0"
+				if owner == cut {
+					cut = "n1"
+				}
+				c.setStoreFate(turnedAway(memory.FaultLostCall, cut))
+				c.kill(owner)
+				c.configure(&workload.Catalog{Version: 3, Customers: customers(nil, "cafe", "diner")})
+				c.start(owner)
+				time.Sleep(inForce)
+				expect("while a node is cut off", "bistro", bad, cut)
+				expect("while a node is cut off", "cafe", good, cut)
+				expect("while a node is cut off", "diner", good, cut)
+				time.Sleep(4 * time.Second)
+				// Whether or not it trusts the keys that it knows, it has no store to ask.
+				for _, key := range []string{"bistro", "cafe", "diner"} {
+					if got := ask(c.nodes[cut].node, key); got != http.StatusServiceUnavailable {
+						t.Errorf("the node that is cut off answers %d to the key of %s", got, key)
+					}
+				}
+				c.setStoreFate(storeWorks)
+				time.Sleep(inForce)
+				expect("once it is back", "bistro", bad, "")
+				expect("once it is back", "diner", good, "")
+			}, withKeys(policy))
+		})
+	}
+}
+
 // Whether a member goes on with the keys that it knows while it cannot read the
 // configuration is the operators' to say: strict, it stops after the time that they set,
 // and begins again once it knows the newest.
--- a/node/node.go
+++ b/node/node.go
@@ -58,9 +58,8 @@
 	// Machines moves and maintains instances; nil if nobody does.
 	Machines pointport.Machines
 	Waves    WaveSource
-	// Ingress makes the handler of clients' calls; keysTrusted reports whether it is known
-	// which keys are in force.
-	Ingress func(desk *intake.Desk, catalog func() *workload.Catalog, keysTrusted func() bool) http.Handler
+	// Ingress makes the handler of the calls of a node's clients.
+	Ingress func(n *Node) http.Handler
 	// Metrics serves the node's figures, Brief the most telling of them; nil for none.
 	Metrics, Brief http.Handler
 	// Operators makes the handler of the operators' API, which is served beside the
@@ -174,6 +173,10 @@
 	return !n.params.Keys.Strict || n.configs.age() <= n.params.Keys.Time
 }
 
+// KeysNewest reports whether the newest keys are known: whether the configuration was known
+// to be the newest so lately that another one is not in force yet.
+func (n *Node) KeysNewest() bool { return n.configs.age() < configLate }
+
 // startSteward lets the node be the one that moves and maintains instances.
 func (n *Node) startSteward(ctx context.Context, pools steward.Pools) {
 	s := n.services
@@ -205,7 +208,7 @@
 	a := n.params.Addresses
 	n.clients = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	if n.services.Ingress != nil {
-		n.clients.Handler = n.dismissing(n.services.Ingress(n.desk, n.configs.Trusted, n.KeysTrusted))
+		n.clients.Handler = n.dismissing(n.services.Ingress(n))
 	}
 	serve := []struct {
 		address string
