--- /dev/null
+++ b/node/store_test.go
@@ -0,0 +1,160 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pointport/pointport/intake"
+	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file tests what nodes do while the store is away, slow or loses answers.
+
+func TestStoreIsAway(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		for i := range 4 {
+			submit(t, n, q, fmt.Sprintf("%016x", i), twoSteps(2*time.Second))
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.setStoreFate(func(string, string) memory.Fault { return memory.FaultLostCall })
+		time.Sleep(4 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		err := n.Desk().Submit(ctx, q, "00000000000000dd", twoSteps(time.Second))
+		cancel()
+		var refused *intake.RefusedError
+		if !errors.As(err, &refused) || refused.After <= 0 {
+			t.Errorf("submission while the store is away: %v, want a refusal with a time to come back", err)
+		}
+		c.setStoreFate(storeWorks)
+		for i := range 4 {
+			c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, 30*time.Second)
+		}
+		if s, err := n.Desk().Status(context.Background(), q, "00000000000000dd"); err == nil {
+			t.Errorf("the refused job is %q", s)
+		}
+	})
+}
+
+func TestAnswersOfTheStoreAreLost(t *testing.T) {
+	for _, fault := range []memory.Fault{memory.FaultLostAnswer, memory.FaultLostCall, memory.FaultLate} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			bubble(t, 3, func(c *cluster) {
+				calls := 0
+				c.setStoreFate(func(_, op string) memory.Fault {
+					if op != "commit" {
+						return memory.FaultNone
+					}
+					calls++
+					if calls%3 == 0 {
+						return fault
+					}
+					return memory.FaultNone
+				})
+				n := c.nodes["n0"].node
+				q := queue(t, n, "shift-close")
+				for i := range 6 {
+					id := fmt.Sprintf("%016x", i)
+					for {
+						ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+						err := n.Desk().Submit(ctx, q, id, twoSteps(300*time.Millisecond))
+						cancel()
+						if err == nil {
+							break
+						}
+					}
+				}
+				for i := range 6 {
+					c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, 60*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// A watch that hears nothing must not keep a configuration from coming into force
+// (tippijako-prod scale-2: a route was unknown after four seconds).
+func TestConfigurationWhileWatchesAreDeaf(t *testing.T) {
+	bubble(t, 2, func(c *cluster) {
+		c.store.SetDeaf(true)
+		c.configure(&workload.Catalog{Version: 2})
+		time.Sleep(2 * time.Second)
+		for name, r := range c.nodes {
+			if got := r.node.Catalog().Version; got != 2 {
+				t.Errorf("node %s has version %d in force after two seconds, want 2", name, got)
+			}
+		}
+		c.store.SetDeaf(false)
+		c.store.Forget()
+		c.configure(&workload.Catalog{Version: 1})
+		time.Sleep(3 * time.Second)
+		for name, r := range c.nodes {
+			if got := r.node.Catalog().Version; got != 2 {
+				t.Errorf("node %s went back to version %d", name, got)
+			}
+		}
+	})
+}
+
+// While the store loses the answers to two in five changes, jobs end nearly as soon as
+// otherwise: a lost answer is noticed after a few times the usual wait, and not when
+// the call is given up after a second.
+func TestLostAnswersHoldNothingUp(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		r := rand.New(rand.NewPCG(1, 2))
+		c.setStoreFate(func(_, op string) memory.Fault {
+			if op == "commit" && r.IntN(5) < 2 {
+				return memory.FaultLostAnswer
+			}
+			return memory.FaultNone
+		})
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		from := time.Now()
+		for i := range 6 {
+			submit(t, n, q, fmt.Sprintf("%016x", i), twoSteps(300*time.Millisecond))
+		}
+		for i := range 6 {
+			c.eventually(n, q, fmt.Sprintf("%016x", i), workload.Completed, 5*time.Second)
+		}
+		if took := time.Since(from); took > 5*time.Second {
+			t.Errorf("two steps of 0.3 s took %v", took)
+		}
+	})
+}
+
+// While the store takes 0.3 s for an answer, jobs begin: a batch takes one call, not
+// one for each nine jobs, and no more is placed than a batch takes. It takes 2.15 s, and
+// took 2.75 s or more with calls for nine jobs each.
+func TestSlowStoreHoldsLittleUp(t *testing.T) {
+	bubble(t, 3, func(c *cluster) {
+		n := c.nodes["n0"].node
+		q := queue(t, n, "shift-close")
+		time.Sleep(10 * time.Second)      // until pools have owners and have settled
+		const jobs, starts = 100, 100 * 4 // of the first steps
+		from := time.Now()
+		var all sync.WaitGroup
+		for i := range jobs {
+			spec := twoSteps(300 * time.Millisecond)
+			for n := range spec.Steps {
+				spec.Steps[n].Need.CPUMilli = 20 // room is not what they wait for
+			}
+			spec.Payload = "duration=300ms cpu=20 memory=128"
+			all.Go(func() { submit(t, n, q, fmt.Sprintf("%016x", i), spec) })
+		}
+		all.Wait()
+		for c.fleet.Starts() < starts && time.Since(from) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if took := time.Since(from); took > 2500*time.Millisecond {
+			t.Errorf("%d of %d tasks of %d jobs had started after %v", c.fleet.Starts(), starts, jobs, took)
+		}
+	}, withSlowStore(300*time.Millisecond), withoutSteward())
+}
