--- a/node/cap_test.go
+++ b/node/cap_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,7 +50,8 @@
 type capWatch struct {
 	c      *cluster
 	ids    map[string]bool
-	limits []countingCap
+	mu     sync.Mutex
+	limits []countingCap // guarded by mu, as worst is
 	worst  int64
 }
 
@@ -64,6 +66,8 @@
 
 // lower puts another cap into force.
 func (w *capWatch) lower(version, cores int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.limits[len(w.limits)-1].until = time.Now().Add(formerCapCounts)
 	w.limits = append(w.limits, countingCap{cores: cores})
 	w.c.configure(&workload.Catalog{Version: version, Customers: customers(capOf(cores), "bistro", "cafe")})
@@ -88,6 +92,7 @@
 				running++
 			}
 		}
+		w.mu.Lock()
 		most := int64(0)
 		for _, l := range w.limits {
 			if l.until.IsZero() || time.Now().Before(l.until) {
@@ -95,6 +100,7 @@
 			}
 		}
 		w.worst = max(w.worst, running)
+		w.mu.Unlock()
 		if running > most && running > before {
 			w.c.t.Errorf("%d cores run of a cap of %d", running, most)
 		}
@@ -198,6 +204,8 @@
 					}
 				}
 				close(stop)
+				w.mu.Lock()
+				defer w.mu.Unlock()
 				if w.worst < 10 {
 					t.Errorf("at most %d cores ran of a cap of 12", w.worst)
 				}
