Say once what stood twice: what may have begun, a dominant share, what holds for a while

Found by reading the whole change. A run that may have begun was decided by the same condition in schedule/crash.go and silence.go; the dominant share was reckoned in share.go and excess.go; peer had two maps of deadlines with a lock each (recent, crowded), now one container; whether a cap is tighter was six comparisons where the bounded shapes say it. An owner's ledger sorted all customers' names and added up all pools' rows of each customer at every turn, also of those without an account: the names are sorted once with the configuration, and an empty account is passed by. Two conditions that others imply are gone from the backlog of a customer. Behaviour is the same.

--- a/peer/excess.go
+++ b/peer/excess.go
@@ -1,11 +1,6 @@
 package peer
 
-import (
-	"sync"
-	"time"
-
-	"github.com/pointport/pointport"
-)
+import "time"
 
 // This file defines what a member remembers of whom no more jobs are wanted.
 
@@ -19,39 +14,16 @@
 	excessMost  = 1500 * time.Millisecond
 )
 
-// crowded are the customers of whom owners want no more jobs. It is safe for concurrent use.
-type crowded struct {
-	clock pointport.Clock
-	mu    sync.Mutex
-	until map[crowdKey]time.Time
-}
-
+// A crowdKey names a customer in a pool.
 type crowdKey struct{ pool, customer string }
 
-func newCrowded(clock pointport.Clock) *crowded {
-	return &crowded{clock: clock, until: make(map[crowdKey]time.Time)}
-}
-
-// note takes in for how long an owner wants no more jobs; zero if it wants them.
-func (c *crowded) note(pool, customer string, d time.Duration) {
-	if customer == "" {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := crowdKey{pool, customer}
-	if d <= 0 {
-		delete(c.until, key)
-		return
+// noteExcess takes in for how long a pool's owner wants no more jobs of a customer; zero if
+// it wants them.
+func (o *Owners) noteExcess(pool, customer string, d time.Duration) {
+	if d > 0 {
+		d = min(max(d, excessLeast), excessMost)
 	}
-	c.until[key] = c.clock.Steady().Add(min(max(d, excessLeast), excessMost))
-}
-
-// left returns for how long no more jobs are wanted, zero if they are.
-func (c *crowded) left(pool, customer string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return max(0, c.until[crowdKey{pool, customer}].Sub(c.clock.Steady()))
+	o.crowded.set(crowdKey{pool, customer}, d)
 }
 
 // Excess returns for how long a pool's owner wants no more jobs of a customer, zero if it
@@ -63,5 +35,5 @@
 	if local, ok := o.keeper.Tenant(pool); ok {
 		return local.Excess(customer)
 	}
-	return o.crowded.left(pool, customer)
+	return o.crowded.left(crowdKey{pool, customer})
 }
--- a/peer/keep.go
+++ b/peer/keep.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/member"
@@ -39,30 +38,6 @@
 	errNoneServed = errors.New("the store serves none that was asked")
 )
 
-// recent are the peers of which something has been found out lately. It is safe for
-// concurrent use.
-type recent struct {
-	clock pointport.Clock
-	mu    sync.Mutex
-	until map[string]time.Time // by name
-}
-
-func newRecent(clock pointport.Clock) *recent {
-	return &recent{clock: clock, until: make(map[string]time.Time)}
-}
-
-func (r *recent) add(name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.until[name] = r.clock.Steady().Add(keepRest)
-}
-
-func (r *recent) has(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.clock.Steady().Before(r.until[name])
-}
-
 // Keep has a peer store a job and returns the peer's name. Which is asked first depends
 // on the job, so that peers share the work. A job is stored once however many are asked.
 func (o *Owners) Keep(ctx context.Context, s intake.Submission) (string, error) {
@@ -71,7 +46,7 @@
 	for _, m := range helpers {
 		r, err := o.post(ctx, m, keepPath, question{Pool: s.Pool, Job: s.ID, Keep: &s})
 		if err == nil && r.Known {
-			o.served.add(m.Name)
+			o.served.set(m.Name, keepRest)
 			return m.Name, nil
 		}
 		switch {
@@ -80,7 +55,7 @@
 		case err == nil && r.Taken:
 			return "", &intake.TakenError{ID: s.ID}
 		}
-		o.resting.add(m.Name)
+		o.resting.set(m.Name, keepRest)
 		switch {
 		case err != nil && !neverSent(err):
 			unsure = err
@@ -105,10 +80,10 @@
 func (o *Owners) helpers(ctx context.Context, s intake.Submission) ([]member.Member, error) {
 	var ask []member.Member
 	for _, m := range o.peersFor(s.ID) {
-		if o.resting.has(m.Name) {
+		if o.resting.left(m.Name) > 0 {
 			continue
 		}
-		if o.served.has(m.Name) {
+		if o.served.left(m.Name) > 0 {
 			return []member.Member{m}, errNoneServed
 		}
 		if len(ask) < keepPeers {
@@ -140,7 +115,7 @@
 			out = append(out, m)
 			continue
 		}
-		o.resting.add(m.Name)
+		o.resting.set(m.Name, keepRest)
 	}
 	return out
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -98,9 +98,9 @@
 	roster  *member.Roster
 	http    *http.Client
 	timeout time.Duration
-	resting *recent // peers that are left alone for a while
-	served  *recent // peers that have stored a job lately
-	crowded *crowded
+	resting *deadlines[string]   // peers that are left alone for a while
+	served  *deadlines[string]   // peers that have stored a job lately
+	crowded *deadlines[crowdKey] // customers of whom owners want no more jobs
 	logger  *slog.Logger
 }
 
@@ -109,7 +109,7 @@
 // NewOwners returns a way to the owners: those that keeper runs, and others as
 // the roster names them.
 func NewOwners(keeper *member.Keeper[*shard.Owner], roster *member.Roster, client *http.Client, clock pointport.Clock, logger *slog.Logger) *Owners {
-	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newRecent(clock), served: newRecent(clock), crowded: newCrowded(clock), logger: logger}
+	return &Owners{keeper: keeper, roster: roster, http: client, timeout: DefaultTimeout, resting: newDeadlines[string](clock), served: newDeadlines[string](clock), crowded: newDeadlines[crowdKey](clock), logger: logger}
 }
 
 // ask puts a question to the owner of its pool on another instance.
@@ -158,7 +158,9 @@
 			event.PeerSilent.Log(o.logger, slog.String("pool", pool), slog.String("job", id), slog.Any("error", err))
 			return
 		}
-		o.crowded.note(pool, whose, r.Excess)
+		if whose != "" {
+			o.noteExcess(pool, whose, r.Excess)
+		}
 	}()
 }
 
--- a/quota/account.go
+++ b/quota/account.go
@@ -72,6 +72,9 @@
 // has no more may have a row that nobody will lower.
 func (a Account) held(pools []string, except string) pointport.Shape {
 	var sum pointport.Shape
+	if len(a.Rows) == 0 {
+		return sum // as of most customers, which are asked about with each plan
+	}
 	for _, pool := range pools {
 		if pool != except {
 			sum = sum.Plus(a.Rows[pool].Held)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"sort"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -207,13 +206,8 @@
 	if !l.loaded || !l.policy.Limited() {
 		return nil
 	}
-	var names []string
-	for name := range l.policy.terms {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	var out []Change
-	for _, name := range names {
+	for _, name := range l.policy.names {
 		if len(out) == atMost {
 			break
 		}
--- a/quota/policy.go
+++ b/quota/policy.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/pointport/pointport"
@@ -39,16 +40,7 @@
 
 // tighter reports whether any bound is smaller than before.
 func (t Terms) tighter(before Terms) bool {
-	smaller := func(limit, now, was, wasLimit int64) bool {
-		return limit > 0 && (wasLimit == 0 || now < was)
-	}
-	a, b := before, t
-	return smaller(b.Cap.CPUMilli, b.Even.CPUMilli, a.Even.CPUMilli, a.Cap.CPUMilli) ||
-		smaller(b.Cap.MemoryMiB, b.Even.MemoryMiB, a.Even.MemoryMiB, a.Cap.MemoryMiB) ||
-		smaller(b.Cap.Accelerators, b.Even.Accelerators, a.Even.Accelerators, a.Cap.Accelerators) ||
-		smaller(b.Cap.CPUMilli, b.Floating.CPUMilli, a.Floating.CPUMilli, a.Cap.CPUMilli) ||
-		smaller(b.Cap.MemoryMiB, b.Floating.MemoryMiB, a.Floating.MemoryMiB, a.Cap.MemoryMiB) ||
-		smaller(b.Cap.Accelerators, b.Floating.Accelerators, a.Floating.Accelerators, a.Cap.Accelerators)
+	return !t.bounded(t.Even).Fits(before.bounded(before.Even)) || !t.bounded(t.Floating).Fits(before.bounded(before.Floating))
 }
 
 // unbounded stands for a part of a shape that has no bound. Sums of some thousand of them
@@ -71,6 +63,7 @@
 	version int64
 	pools   []string
 	terms   map[string]Terms // of the customers that have a cap
+	names   []string         // of these customers, sorted
 	weights map[string]float64
 }
 
@@ -93,6 +86,7 @@
 		}
 		p.terms[c.Name] = t
 	}
+	p.names = slices.Sorted(maps.Keys(p.terms))
 	return p
 }
 
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -73,7 +73,7 @@
 func (w *Worker) begunRuns() []*Run {
 	var out []*Run
 	for _, r := range w.runs {
-		if r.state != runDecided && (r.state != runSent || r.ordered) {
+		if r.mayHaveBegun() {
 			out = append(out, r)
 		}
 	}
--- a/schedule/excess.go
+++ b/schedule/excess.go
@@ -29,13 +29,6 @@
 	stormAfter = 2500 * time.Millisecond
 )
 
-// shareTime returns how much of the pool tasks take for how long: their share of its
-// processors or memory, whichever is more, times their duration.
-func shareTime(need, capacity pointport.Shape, d time.Duration) time.Duration {
-	share := max(ratio(need.CPUMilli, capacity.CPUMilli), ratio(need.MemoryMiB, capacity.MemoryMiB))
-	return time.Duration(share * float64(d))
-}
-
 // backlog is what waits of a customer.
 type backlog struct {
 	work  time.Duration // share times duration of jobs that have not begun
@@ -46,8 +39,7 @@
 // Excess returns for how long no more jobs of customers are wanted, because those that wait
 // and can be in time take longer than they may at the customer's part of the pool, or at what
 // they have of it now if that is more, and have for a while: one more would be late before
-// it begins. Only customers are told so: what nobody has a
-// share in waits by its time alone.
+// it begins. Only customers are told so: what nobody has a share in waits by its time alone.
 func (b *Book) Excess(now time.Time) map[string]time.Duration {
 	var out map[string]time.Duration
 	workers := b.usable(now)
@@ -85,7 +77,7 @@
 func (b *Book) backlogs(capacity pointport.Shape) map[*account]backlog {
 	out := make(map[*account]backlog)
 	for e := range b.hungry {
-		if e.account == nil || e.standing.class != classFresh || e.begun || e.job.Begun() || len(e.ready) == 0 || e.ready[0].step.Service {
+		if e.account == nil || e.standing.class != classFresh || e.job.Begun() || len(e.ready) == 0 {
 			continue
 		}
 		w := out[e.account]
@@ -97,13 +89,15 @@
 	return out
 }
 
-// workOf returns what a whole job takes of the pool.
+// workOf returns what a whole job takes of the pool, as its tasks' shares times their
+// durations.
 func (b *Book) workOf(e *entry, capacity pointport.Shape) time.Duration {
 	var sum time.Duration
 	spec := e.job.Spec()
 	for n := range spec.Steps {
 		step := &spec.Steps[n]
-		sum += shareTime(step.Room().Times(step.Count), capacity, b.learned.duration(e.job.Queue(), step))
+		share := dominantShare(step.Room().Times(step.Count), capacity)
+		sum += time.Duration(share * float64(b.learned.duration(e.job.Queue(), step)))
 	}
 	return sum
 }
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -99,4 +99,8 @@
 	return r.liveAt.Sub(r.placedAt)
 }
 
+// mayHaveBegun reports whether the instance may have started the run: it was ordered, by this
+// owner or an earlier one.
+func (r *Run) mayHaveBegun() bool { return r.state != runDecided && (r.state != runSent || r.ordered) }
+
 func (r *Run) task() *workload.Task { return r.entry.job.Task(r.ref) }
--- a/schedule/share.go
+++ b/schedule/share.go
@@ -50,12 +50,15 @@
 	return s
 }
 
-// dominant returns how much of the pool a customer's tasks take: of its processors or its
-// memory, whichever is more.
-func (s shares) dominant(a *account) float64 {
-	return max(ratio(a.used.CPUMilli, s.capacity.CPUMilli), ratio(a.used.MemoryMiB, s.capacity.MemoryMiB))
+// dominantShare returns how much of a pool tasks take: of its processors or its memory,
+// whichever is more.
+func dominantShare(need, capacity pointport.Shape) float64 {
+	return max(ratio(need.CPUMilli, capacity.CPUMilli), ratio(need.MemoryMiB, capacity.MemoryMiB))
 }
 
+// dominant returns a customer's share of the pool.
+func (s shares) dominant(a *account) float64 { return dominantShare(a.used, s.capacity) }
+
 // beyond reports whether a customer has more than its part.
 func (b *Book) beyond(s shares, a *account) bool {
 	return a != nil && s.weights > 0 && s.dominant(a) > b.weightOf(a)/s.weights
--- a/schedule/silence.go
+++ b/schedule/silence.go
@@ -103,8 +103,7 @@
 
 // mayBeDone reports whether a run may have ended so that its task must not start again.
 func (r *Run) mayBeDone() bool {
-	begun := r.state != runDecided && (r.state != runSent || r.ordered)
-	return begun && !r.detached() && !r.step().Service && !r.step().Copies
+	return r.mayHaveBegun() && !r.detached() && !r.step().Service && !r.step().Copies
 }
 
 // sweep lets the runs go of workers that have been silent for so long that
