--- a/schedule/customer.go
+++ b/schedule/customer.go
@@ -26,6 +26,8 @@
 	// storms is since when the customer asks for far more than its part, zero while it does
 	// not.
 	storms time.Time
+	// excess is for how long no more of its jobs are wanted, as reckoned last.
+	excess time.Duration
 	// toldCap is when it was last logged that the cap holds tasks back.
 	toldCap time.Time
 }
--- a/schedule/excess.go
+++ b/schedule/excess.go
@@ -36,7 +36,7 @@
 	jobs  int
 }
 
-// Excess returns for how long no more jobs of customers are wanted, because those that wait
+// Excess reckons for how long no more jobs of customers are wanted, and returns it, because those that wait
 // and can be in time take longer than they may at the customer's part of the pool, or at what
 // they have of it now if that is more, and have for a while: one more would be late before
 // it begins. Only customers are told so: what nobody has a share in waits by its time alone.
@@ -50,6 +50,7 @@
 	s := b.sharesOf(workers, waiting)
 	waits := b.backlogs(s.capacity)
 	for _, a := range b.accounts {
+		a.excess = 0
 		w, ok := waits[a]
 		if !ok {
 			a.storms = time.Time{}
@@ -67,7 +68,8 @@
 			if out == nil {
 				out = make(map[string]time.Duration)
 			}
-			out[a.name] = wait - slack
+			a.excess = wait - slack
+			out[a.name] = a.excess
 		}
 	}
 	return out
--- a/schedule/explain_customer.go
+++ b/schedule/explain_customer.go
@@ -47,7 +47,7 @@
 	queue := b.queue(now)
 	s := b.sharesOf(b.usable(now), queue)
 	x.Used, x.Capped, x.Allowed, x.HeldBack = a.used, a.capped, a.allowed, a.heldBack
-	x.Share, x.Excess = s.dominant(a), b.Excess(now)[name]
+	x.Share, x.Excess = s.dominant(a), a.excess
 	if s.weights > 0 {
 		x.Part = b.weightOf(a) / s.weights
 	}
