Nothing starts in an availability zone that operators have evacuated

Package evacuation holds what a member knows, and is the one thing that says whether something may start in a zone. Owners ask it for each choice of an instance and again for each start just before it is sent. The steward counts instances of the zone for no pool, so that others come in the next round, and sends its idle ones to the spare pool.

--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/schedule"
 )
 
@@ -45,6 +46,7 @@
 type Planner struct {
 	settings Settings
 	spare    string
+	zones    evacuation.Zones
 	machines map[pointport.InstanceID]*machine
 	waves    map[int64]*waveState
 	surveys  map[string]schedule.Survey
@@ -70,6 +72,18 @@
 // SetSpare names the spare pool, empty if there is none.
 func (p *Planner) SetSpare(pool string) { p.spare = pool }
 
+// SetEvacuations takes in which availability zones are evacuated. Their instances count for
+// no pool, so that others come in their place at once, before what is left is full; those
+// that are idle go to the spare pool like others that are not needed. While it is not known
+// which they are, all count.
+func (p *Planner) SetEvacuations(z evacuation.Zones) { p.zones = z }
+
+// evacuated reports whether nothing may be started on a machine because of its availability
+// zone.
+func (p *Planner) evacuated(m *machine) bool {
+	return p.zones.Standing(m.zone) == evacuation.Evacuated
+}
+
 // SetSurvey takes in how a pool stands.
 func (p *Planner) SetSurvey(now time.Time, pool string, s schedule.Survey) {
 	if p.began.IsZero() {
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -54,6 +54,8 @@
 	// idle are the instances that may go: those that were closed for it first,
 	// then the longest idle.
 	idle []*machine
+	// emptied are those of evacuated availability zones that may go.
+	emptied []*machine
 }
 
 // floor returns how many instances a pool keeps when another one takes some.
@@ -107,6 +109,12 @@
 	inUse := 0
 	anywhere := false // whether the pool has any machine, in whatever state
 	for _, m := range p.machines {
+		if p.evacuated(m) {
+			if m.pool == pool && p.restsIn(now, m) {
+				s.emptied = append(s.emptied, m)
+			}
+			continue
+		}
 		anywhere = anywhere || m.pool == pool && m.order == nil
 		switch {
 		case m.order != nil && m.order.Pool != "":
@@ -120,7 +128,7 @@
 			if m.load.Serving > 0 {
 				inUse++
 			}
-			if p.free(now, m) && !m.idle.IsZero() && now.Sub(m.since) > settleTime {
+			if p.restsIn(now, m) {
 				s.idle = append(s.idle, m)
 			}
 		}
@@ -163,6 +171,11 @@
 	return s
 }
 
+// restsIn reports whether a machine is idle in its pool and may be ordered about.
+func (p *Planner) restsIn(now time.Time, m *machine) bool {
+	return p.free(now, m) && !m.idle.IsZero() && now.Sub(m.since) > settleTime
+}
+
 // instancesFor returns how many instances have room for a need and some headroom, a
 // factor on it, where n of them have room together.
 func instancesFor(need, room pointport.Shape, n int, headroom float64) int {
--- a/capacity/supply.go
+++ b/capacity/supply.go
@@ -86,7 +86,7 @@
 func (p *Planner) coming(now time.Time, pool, label string) int {
 	n := 0
 	for _, m := range p.machines {
-		if !m.has(label) {
+		if !m.has(label) || p.evacuated(m) {
 			continue
 		}
 		switch {
@@ -222,7 +222,7 @@
 	var best *machine
 	for _, m := range p.machines {
 		known := m.load.Incarnation.Addressee() == m.life && m.load.Serving == 0
-		if m.pool != pool || m.closing || !known || !p.free(now, m) || m.claimed != "" && m.claimed != forPool {
+		if m.pool != pool || m.closing || !known || p.evacuated(m) || !p.free(now, m) || m.claimed != "" && m.claimed != forPool {
 			continue
 		}
 		if m.load.Runs == 0 && m.claimed == "" {
@@ -266,13 +266,19 @@
 		s.have--
 		p.release(now, d, m, p.spare, "not needed")
 	}
+	sort.Slice(s.emptied, func(i, k int) bool { return s.emptied[i].id < s.emptied[k].id })
+	for _, m := range s.emptied {
+		if now.Sub(m.idle) >= idleTime {
+			p.release(now, d, m, p.spare, "its availability zone is evacuated")
+		}
+	}
 }
 
 // spares returns the spare machines that may be moved.
 func (p *Planner) spares(now time.Time) []*machine {
 	var out []*machine
 	for _, m := range p.machines {
-		if p.spare != "" && m.pool == p.spare && p.free(now, m) {
+		if p.spare != "" && m.pool == p.spare && !p.evacuated(m) && p.free(now, m) {
 			out = append(out, m)
 		}
 	}
--- a/cli/join.go
+++ b/cli/join.go
@@ -13,6 +13,7 @@
 	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/customer"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/intake"
 	"github.com/pointport/pointport/internal/heap"
@@ -136,6 +137,7 @@
 			Source: node.Source[capacity.Wave]{Prefix: platform.WavePrefix, Decode: platform.DecodeWave},
 			Status: platform.WaveStatus,
 		},
+		Evacuations: node.Source[evacuation.Request]{Prefix: platform.EvacuationPrefix, Decode: platform.DecodeEvacuation},
 		Ingress: func(n *node.Node) http.Handler {
 			as := func(c customer.Caller) platform.Desk { return n.Desk().As(c) }
 			keys := platform.KeyState{Trusted: n.KeysTrusted, Newest: n.KeysNewest}
@@ -161,7 +163,7 @@
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), MaxHold: s.MaxHold, Grace: s.Grace,
 		GangTime: s.GangTime, FarFactor: s.FarFactor, HolderTime: s.HolderTime, MachineOrders: s.MachineCalls,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime}, Full: guard.Near,
-		Keys: node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime},
+		Keys: node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime}, EvacuationTime: s.EvacuationTime,
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
@@ -189,6 +191,7 @@
 	m.Gauge("pointport_lease_proven", "Whether the lease at the store has surely not ended.", truth(n.Proven))
 	m.Gauge("pointport_members", "Entry instances that this one knows, itself among them.", func() float64 { return float64(n.Members()) })
 	m.Gauge("pointport_pools_owned", "Pools that this entry instance owns, the steward's post among them.", func() float64 { return float64(n.Owned()) })
+	m.Gauge("pointport_zones_evacuated", "Availability zones in which this entry instance starts nothing because operators ask for it, as far as it needs to know.", func() float64 { return float64(n.Evacuated()) })
 	m.Gauge("pointport_owner_lag_seconds", "Longest time in the last second that something waited for the owner of a pool here.", func() float64 { return n.Load().Lag.Seconds() })
 	m.Gauge("pointport_starts_window", "Starts that an owner here may have under way, the smallest of its pools; 0 without one.", func() float64 { return float64(n.Load().Window) })
 	m.Gauge("pointport_orders_delegated", "Whether an owner here sends its orders through peers.", truth(func() bool { return n.Load().Delegating }))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -79,14 +79,19 @@
 
 // Events of machines.
 var (
-	MachineOrdered    = define(421, "machine ordered", slog.LevelInfo, "The platform was asked to move an instance to a pool, or to maintain it for a wave; error says whether it refused or gave no answer.", times("took"))
-	IncarnationOver   = define(427, "incarnation shown over", slog.LevelInfo, "The list of machines shows that an incarnation is over of which its pool's owner hears nothing: life and state are the list's, listAge says how long ago it was asked for, known for how long the owner has known the incarnation.")
-	OrdersHeldBack    = define(428, "orders held back", slog.LevelInfo, "More orders about instances were due than the platform takes in a second; held says how many wait for a later round.")
-	PoolSized         = define(425, "pool sized", slog.LevelInfo, "A pool has, or should have, another number of instances than before.")
-	MachinesCut       = define(422, "machine list cut off", slog.LevelWarn, "The platform's list of machines cannot be read; the last one stays in use.")
-	WaveReported      = define(423, "wave reported", slog.LevelInfo, "How far a wave has come was stored.")
-	WaveUnreadable    = define(424, "wave unreadable", slog.LevelError, "A wave that an operator asks for cannot be used; nothing is ordered for it. error names the field and what it holds.")
-	MachineUnreadable = define(426, "machine line unreadable", slog.LevelError, "A line of the platform's list of machines cannot be used; nothing is ordered about a machine by it. error names the field.")
+	MachineOrdered       = define(421, "machine ordered", slog.LevelInfo, "The platform was asked to move an instance to a pool, or to maintain it for a wave; error says whether it refused or gave no answer.", times("took"))
+	IncarnationOver      = define(427, "incarnation shown over", slog.LevelInfo, "The list of machines shows that an incarnation is over of which its pool's owner hears nothing: life and state are the list's, listAge says how long ago it was asked for, known for how long the owner has known the incarnation.")
+	OrdersHeldBack       = define(428, "orders held back", slog.LevelInfo, "More orders about instances were due than the platform takes in a second; held says how many wait for a later round.")
+	PoolSized            = define(425, "pool sized", slog.LevelInfo, "A pool has, or should have, another number of instances than before.")
+	MachinesCut          = define(422, "machine list cut off", slog.LevelWarn, "The platform's list of machines cannot be read; the last one stays in use.")
+	WaveReported         = define(423, "wave reported", slog.LevelInfo, "How far a wave has come was stored.")
+	WaveUnreadable       = define(424, "wave unreadable", slog.LevelError, "A wave that an operator asks for cannot be used; nothing is ordered for it. error names the field and what it holds.")
+	ZoneEvacuated        = define(429, "zone evacuated", slog.LevelInfo, "The operators ask that nothing be started on the instances of an availability zone; from now on this node starts nothing there. revision is the request's, age how long ago it was read.")
+	ZoneOpened           = define(430, "zone open", slog.LevelInfo, "The operators have taken back that an availability zone be left empty; this node may start tasks there again. revision is that of the request.")
+	EvacuationsUnknown   = define(431, "evacuations unknown", slog.LevelWarn, "For the time named in age, this node could not read which availability zones are evacuated; until it can, it starts nothing anywhere.", times("age"))
+	EvacuationsKnown     = define(432, "evacuations known", slog.LevelInfo, "This node knows again which availability zones are evacuated.", times("after"))
+	EvacuationUnreadable = define(433, "evacuation unreadable", slog.LevelError, "A request that an availability zone be left empty names none; it is passed over. error names the key.")
+	MachineUnreadable    = define(426, "machine line unreadable", slog.LevelError, "A line of the platform's list of machines cannot be used; nothing is ordered about a machine by it. error names the field.")
 )
 
 // Events of jobs.
@@ -153,6 +158,8 @@
 	QuotaUnreadable = define(546, "quota account unreadable", slog.LevelError, "What the pools hold of a customer's cap cannot be read; it counts as nothing held.")
 	CustomerExcess  = define(547, "customer in excess", slog.LevelInfo, "What a customer has waiting in a pool takes longer, at its part of it, than its jobs are of use, so members refuse more of them; or no longer, as refused says.", splits("refused", "true", "false"))
 	JobExcess       = define(548, "job in excess", slog.LevelInfo, "A job was refused at once, and never runs, because its customer has too much waiting in its pool; after says when it was told to come back.")
-	SoundWorker     = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
-	SuspectWorker   = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
+	StartForgone    = define(556, "start forgone", slog.LevelInfo, "A start was not sent because its instance's availability zone is evacuated, or may be, as standing says. sentBefore says that it was sent before without an answer; then it is ruled out by a stop.",
+		splits("standing", "evacuated", "unknown"))
+	SoundWorker   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has ended a task well and gets tasks as any other.")
+	SuspectWorker = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/delegate"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/memory"
 	"github.com/pointport/pointport/node"
@@ -36,6 +37,7 @@
 	configKey          = "config"
 	registrationPrefix = "registration/"
 	wavePrefix         = "wave-request/"
+	evacuationPrefix   = "evacuation/"
 	spareName          = "spare"
 )
 
@@ -340,6 +342,9 @@
 				return pointport.Put{Key: fmt.Sprintf("wave-status/%d", wave), Value: fmt.Append(nil, completed)}
 			},
 		},
+		Evacuations: node.Source[evacuation.Request]{Prefix: evacuationPrefix, Decode: func(e pointport.Entry) (evacuation.Request, error) {
+			return evacuation.Request{Zone: pointport.ZoneID(strings.TrimPrefix(e.Key(), evacuationPrefix)), Made: e.Revision()}, nil
+		}},
 		PeerTransport: c,
 	}
 	if c.still {
@@ -438,6 +443,20 @@
 	c.put(fmt.Sprintf("%s%d", wavePrefix, id), value)
 }
 
+// evacuate asks that an availability zone be left empty.
+func (c *cluster) evacuate(zone pointport.ZoneID) {
+	c.put(evacuationPrefix+string(zone), []byte("{}"))
+	c.fleet.Evacuate(zone)
+}
+
+// open takes that back.
+func (c *cluster) open(zone pointport.ZoneID) {
+	c.fleet.Open(zone)
+	if _, err := c.kv.Commit(context.Background(), pointport.Txn{Delete: []string{evacuationPrefix + string(zone)}}); err != nil {
+		c.t.Error(err)
+	}
+}
+
 // owner returns the node that owns a pool, or the steward's post.
 func (c *cluster) owner(pool string) string {
 	c.t.Helper()
--- /dev/null
+++ b/node/evacuations_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/evacuation"
+	"github.com/pointport/pointport/memory"
+)
+
+// Which availability zones are evacuated is read while somebody asks, not any more once nobody
+// has for a while, and anew as soon as somebody does again: what was known before is not told.
+func TestEvacuationsAreReadWhileAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.New(clock.System{})
+		reads := 0
+		kv := store.KV(memory.WithFaults(func(op, _ string) memory.Fault {
+			if op == "range" {
+				reads++
+			}
+			return memory.FaultNone
+		}), memory.WithLatency(time.Millisecond))
+		source := Source[evacuation.Request]{Prefix: "evacuate/", Decode: func(e pointport.Entry) (evacuation.Request, error) {
+			return evacuation.Request{Zone: pointport.ZoneID(e.Key()[len("evacuate/"):]), Made: e.Revision()}, nil
+		}}
+		e := newEvacuations(ctx, kv, clock.System{}, source, DefaultEvacuationTime, slog.New(slog.DiscardHandler))
+		time.Sleep(10 * time.Second)
+		if reads != 0 {
+			t.Errorf("%d readings before anybody has asked", reads)
+		}
+		for range 100 {
+			e.Zones()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if reads < 9 || reads > 11 {
+			t.Errorf("%d readings in 10 s, want one a second", reads)
+		}
+		time.Sleep(evacuationIdle + time.Second)
+		before := reads
+		if _, err := store.KV().Commit(ctx, pointport.Txn{Put: []pointport.Put{{Key: "evacuate/north"}}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if reads != before {
+			t.Errorf("%d readings although nobody asks", reads-before)
+		}
+		if got := e.Zones().Standing("north"); got != evacuation.Unknown {
+			t.Errorf("after a minute without a reading the zone is %v", got)
+		}
+		time.Sleep(10 * time.Millisecond)
+		if got := e.Zones().Standing("north"); got != evacuation.Evacuated {
+			t.Errorf("the zone is %v once it was asked for again", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
 	"github.com/pointport/pointport/delegate"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/hedge"
 	"github.com/pointport/pointport/intake"
@@ -61,6 +62,9 @@
 	// Machines moves and maintains instances; nil if nobody does.
 	Machines pointport.Machines
 	Waves    WaveSource
+	// Evacuations are the operators' requests that availability zones be left empty; without
+	// a prefix nobody makes any.
+	Evacuations Source[evacuation.Request]
 	// Ingress makes the handler of the calls of a node's clients.
 	Ingress func(n *Node) http.Handler
 	// Metrics serves the node's figures, Brief the most telling of them; nil for none.
@@ -96,6 +100,9 @@
 	Grace time.Duration
 	// HolderTime must lie between the orders of two holders of an instance.
 	HolderTime time.Duration
+	// EvacuationTime is within which time nothing more may be started in an availability
+	// zone that operators ask to be left empty.
+	EvacuationTime time.Duration
 	// MachineOrders is how many orders about instances the platform takes in a second from all
 	// members, zero if it does not say.
 	MachineOrders float64
@@ -125,6 +132,7 @@
 	roster   *member.Roster
 	configs  *configs
 	fleet    *fleet
+	emptied  *evacuations
 	keeper   *member.Keeper[*shard.Owner]
 	stewards *member.Keeper[*steward.Steward]
 	desk     *intake.Desk
@@ -152,6 +160,7 @@
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, n.roster.Size, logger)
 	n.fleet = newFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
+	n.emptied = newEvacuations(ctx, s.KV, s.Clock, s.Evacuations, cmp.Or(p.EvacuationTime, DefaultEvacuationTime), logger)
 	n.keeper = member.StartKeeper(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
 	n.owners = peer.NewOwners(n.keeper, n.roster, n.peers, s.Clock, logger)
 	if s.Machines != nil {
@@ -190,7 +199,7 @@
 	s := n.services
 	services := steward.Services{
 		KV: s.KV, Machines: s.Machines, Clock: s.Clock, Session: n.session, Pools: pools,
-		Waves: newWaves(ctx, s.KV, s.Clock, s.Waves, n.logger), Layout: n.configs.layout,
+		Waves: newWaves(ctx, s.KV, s.Clock, s.Waves, n.logger), Layout: n.configs.layout, Evacuations: n.emptied.Zones,
 	}
 	settings := steward.Settings{Name: n.params.Name, HolderTime: n.params.HolderTime, Orders: n.params.MachineOrders, Planner: n.params.Capacity}
 	posts := func() []string { return []string{steward.Post} }
@@ -203,7 +212,7 @@
 	s := n.services
 	services := shard.Services{
 		KV: s.KV, Executor: s.Executor, Advisor: s.Advisor, Clock: s.Clock, Session: n.session, Fleet: n.fleet,
-		Delegates: n.delegates, Quotas: n.configs.caps,
+		Delegates: n.delegates, Quotas: n.configs.caps, Evacuations: n.emptied.Zones,
 	}
 	return func(own member.Ownership) *shard.Owner {
 		return shard.Start(ctx, services, own, n.logger, shard.WithLease(n.params.TaskLease),
@@ -333,6 +342,10 @@
 	return owned
 }
 
+// Evacuated returns how many availability zones are evacuated, as far as the node knows; it
+// reads that while it owns something.
+func (n *Node) Evacuated() int { return n.emptied.Evacuated() }
+
 // Load returns what the owners of this node's pools carry: the worst lag, the smallest
 // window of starts, and whether any sends its orders through peers; zero if there is none.
 func (n *Node) Load() shard.Load {
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -405,6 +405,11 @@
 		c.mu.Lock()
 		delete(c.peersCut, name)
 		c.mu.Unlock()
+	case "evacuate":
+		zone := pointport.ZoneID([]string{"north", "south"}[tr.index%2])
+		c.evacuate(zone)
+		time.Sleep(tr.lasts + testbed.EvacuationTime)
+		c.open(zone)
 	case "wave":
 		c.wave(int64(tr.index+1), c.fleet.IDs()[:tr.index+1], 2)
 	}
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/workload"
 )
@@ -140,6 +141,8 @@
 	scarce map[string]bool
 	// soon holds the instances that are to be emptied before long.
 	soon map[pointport.InstanceID]bool
+	// zones says in which availability zones tasks may be started; the workers share it.
+	zones *evacuation.Zones
 	// sight says how well the registrations are known.
 	sight   Sight
 	hearing hearing
@@ -147,10 +150,12 @@
 	deposed bool
 }
 
-// NewBook returns the empty book of an owner that took over at now.
+// NewBook returns the empty book of an owner that took over at now. Until it is told
+// otherwise, no availability zone is evacuated.
 func NewBook(now time.Time, s Settings, logger *slog.Logger) *Book {
+	zones := evacuation.None
 	return &Book{
-		settings: s, logger: logger, taken: now,
+		settings: s, logger: logger, taken: now, zones: &zones,
 		jobs:          make(map[string]*entry),
 		underWay:      make(map[pointport.Addressee]map[pointport.TaskRun]time.Time),
 		foreign:       make(map[pointport.Addressee]time.Time),
@@ -254,6 +259,7 @@
 			steps: make(map[stepOf]int),
 			life:  lifetime{inherited: b.taken.Add(b.predecessorBound(id)), foreign: b.foreign[id.Addressee()]},
 			burns: b.burnFor(id),
+			zones: b.zones,
 		}
 		b.workers[id] = w
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -169,7 +169,7 @@
 	case w.silent && !r.ordered:
 		b.dropUnsent(now, r, "its instance fell silent before its start was sent")
 	default:
-		return false
+		return b.forgoInZone(now, r)
 	}
 	return true
 }
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -213,7 +213,9 @@
 	sum := waiting
 	for _, w := range b.workers {
 		for _, r := range w.runs {
-			sum = sum.Plus(r.step().Room())
+			if !r.staysInZone() {
+				sum = sum.Plus(r.step().Room())
+			}
 		}
 	}
 	coming := b.arrivals.steady(now)
@@ -240,10 +242,14 @@
 	var sum pointport.Shape
 	for _, w := range b.workers {
 		for _, r := range w.runs {
-			if r.step().Service {
+			if r.step().Service && !r.staysInZone() {
 				sum = sum.Plus(r.step().Room())
 			}
 		}
 	}
 	return sum
 }
+
+// staysInZone reports whether a run will need no room elsewhere although its availability
+// zone is evacuated: a serving task stays there, the others end and their jobs go on elsewhere.
+func (r *Run) staysInZone() bool { return r.step().Service && r.worker.evacuated() }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/evacuation"
 )
 
 // This file defines what the owner of a pool knows of one incarnation.
@@ -84,6 +85,8 @@
 	// paced is when the pace of tasks there was last changed.
 	paced  time.Time
 	health health
+	// zones is what the book knows of evacuated availability zones.
+	zones *evacuation.Zones
 }
 
 // Endpoint returns where the worker takes orders.
@@ -234,6 +237,10 @@
 		return "silent"
 	case w.inc.Draining():
 		return "leaving"
+	case w.standing() == evacuation.Evacuated:
+		return "in an evacuated availability zone"
+	case w.standing() == evacuation.Unknown:
+		return "in an availability zone that may be evacuated"
 	case w.closed(now):
 		return "closed for a move or for maintenance"
 	case w.strays > 0:
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/quota"
 	"github.com/pointport/pointport/schedule"
@@ -84,6 +85,8 @@
 	// Quotas returns what the configuration says of customers' caps, and whether that is
 	// surely not out of date; nil if nobody has a cap.
 	Quotas func() (policy *quota.Policy, fresh bool)
+	// Evacuations returns what is known of evacuated availability zones; nil if none ever is.
+	Evacuations func() evacuation.Zones
 	// Delegates returns a way to the instances of a pool through peers, until ctx ends;
 	// nil if there is none.
 	Delegates func(ctx context.Context, pool string) Delegates
@@ -110,6 +113,7 @@
 	session    *member.Session
 	fleet      Incarnations
 	quotas     func() (*quota.Policy, bool)
+	evacuated  func() evacuation.Zones
 	logger     *slog.Logger
 	own        member.Ownership
 	lease      time.Duration
@@ -184,7 +188,7 @@
 func Start(ctx context.Context, s Services, own member.Ownership, logger *slog.Logger, options ...Option) *Owner {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &Owner{
-		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, quotas: s.Quotas, own: own,
+		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, quotas: s.Quotas, evacuated: s.Evacuations, own: own,
 		logger: logger.With(slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence))),
 		lease:  DefaultLease, maxHold: defaultMaxHold, gangTime: defaultGangTime, far: defaultFar,
 		inbox: make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
@@ -276,6 +280,13 @@
 	return moved
 }
 
+// evacuate tells the book what is known now of evacuated availability zones.
+func (o *Owner) evacuate() {
+	if o.evacuated != nil {
+		o.book.Evacuate(o.evacuated())
+	}
+}
+
 func (o *Owner) refresh() <-chan struct{} {
 	all, moved := o.fleet.Of(o.own.Pool)
 	o.book.SetIncarnations(o.clock.Now(), all)
@@ -304,6 +315,7 @@
 		return o.turnGap - since
 	}
 	o.planned = now
+	o.evacuate()
 	if o.own.Proven() {
 		o.book.LimitUnsent(o.unsentMost())
 		o.applyCaps(ctx)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -27,6 +27,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/schedule"
@@ -93,6 +94,8 @@
 	Pools    Pools
 	Waves    Waves
 	Layout   func() Layout
+	// Evacuations returns what is known of evacuated availability zones.
+	Evacuations func() evacuation.Zones
 }
 
 // Settings are a steward's name and times.
@@ -202,6 +205,7 @@
 func (s *Steward) round(ctx context.Context) time.Duration {
 	layout := s.services.Layout()
 	s.planner.SetSpare(layout.Spare)
+	s.planner.SetEvacuations(s.services.Evacuations())
 	s.survey(ctx, layout.Work)
 	s.list(ctx)
 	now := s.services.Clock.Now()
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -78,6 +78,10 @@
 	onward   map[string]int                   // by task, its starts after as many crashes as one may cause
 	failed   map[string][]*failedEnd          // by task
 	beyond   []startBeyond                    // starts after as many failed runs as a task may have
+	// evacuated holds since when availability zones are to be left empty, startsIn how many
+	// runs have begun in each.
+	evacuated map[pointport.ZoneID]time.Time
+	startsIn  map[pointport.ZoneID]int
 }
 
 // An Option changes a Fleet.
@@ -134,6 +138,7 @@
 		changed: make(chan struct{}), done: make(map[string]bool), ends: make(map[*incarnation]map[int64]string), told: make(map[string]time.Time),
 		register: func(pointport.Incarnation, bool) {}, starts: make(map[string]int),
 		maintain: make(map[pointport.InstanceID][]int64), away: make(map[pointport.InstanceID]int64), bounds: make(map[int64]int),
+		evacuated: make(map[pointport.ZoneID]time.Time), startsIn: make(map[pointport.ZoneID]int),
 		taken: make(map[string]bool), crashes: make(map[string]int), chance: make(map[string]bool), onward: make(map[string]int), failed: make(map[string][]*failedEnd),
 	}
 	for _, o := range options {
@@ -473,6 +478,7 @@
 // checkStart notes what is wrong with a start. The lock is held.
 func (f *Fleet) checkStart(now time.Time, at *incarnation, r *run, o pointport.StartOrder) {
 	f.starts[r.Task]++
+	f.startsIn[at.machine.zone]++
 	f.checkCrashes(now, r)
 	f.checkAttempts(now, r)
 	if f.done[r.Task] && !r.work.Copies {
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -163,8 +163,8 @@
 	return &pointport.RejectedError{Incarnation: i.id, Reason: reason}
 }
 
-// start carries out a start.
-func (i *incarnation) start(now time.Time, o pointport.StartOrder) error {
+// start carries out a start that was sent at sent.
+func (i *incarnation) start(now, sent time.Time, o pointport.StartOrder) error {
 	if i.machine.unwell {
 		return i.reject(pointport.RejectUnhealthy)
 	}
@@ -194,6 +194,7 @@
 	}
 	r := &run{TaskRun: o.TaskRun, work: work, arrived: now, began: now}
 	i.fleet.checkStart(now, i, r, o)
+	i.fleet.checkZone(now, sent, i, r.Task)
 	if work.Gang > 1 {
 		r.began = time.Time{}
 	}
--- a/testbed/network.go
+++ b/testbed/network.go
@@ -127,8 +127,9 @@
 
 // Start starts a run.
 func (e *Executor) Start(ctx context.Context, at pointport.Endpoint, o pointport.StartOrder) (pointport.InstanceClock, error) {
+	sent := e.fleet.clock.Now()
 	return call(ctx, e, "start", at, func(i *incarnation, now time.Time) (pointport.InstanceClock, error) {
-		return i.clock(now), i.start(now, o)
+		return i.clock(now), i.start(now, sent, o)
 	})
 }
 
