serve evacuates availability zones: pointport evacuate, its undoing, and what follows

An Evacuation is an object of the configuration, so it is in force like any other change and in the audit trail with author and reason; an availability zone that there is not is refused by name. Upstreams of the zone get no request, jobs of the zone wait with the reason, a start that was committed and not told waits too, and the parts of the zone in pools fall to the others as far as they have spare instances.

--- a/assign/decide.go
+++ b/assign/decide.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/evacuation"
 )
 
 // This file defines the decision as a whole: what it looks at and in which
@@ -43,6 +44,8 @@
 	State     *State
 	Templates []*config.Template // with the parameters that are in force
 	Waves     []WaveOrder
+	// Evacuations says which zones are to be left empty.
+	Evacuations evacuation.Zones
 	// Listed is the platform's list for the zone.
 	Listed []pointport.Instance
 	// Quiet says for how long a draining instance has been seen to run nothing,
--- a/assign/decide_test.go
+++ b/assign/decide_test.go
@@ -8,6 +8,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/assign"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/evacuation"
 )
 
 // TestZoneLostFitsTheStore loses a zone of 2000 instances at once. No change may
@@ -94,3 +95,40 @@
 		t.Error("the forecast changed the state")
 	}
 }
+
+// TestPartsOfEvacuatedZonesFallToOthers evacuates one zone of two. The other one takes spare
+// instances for its part, and gives them up by the rule for surplus only; the evacuated one
+// keeps what it has.
+func TestPartsOfEvacuatedZonesFallToOthers(t *testing.T) {
+	in := inputOf(250)
+	in.Zones, in.State = []pointport.ZoneID{"zone-a", "zone-b"}, assign.NewState()
+	in.State = settle(in)
+	serving := func(in assign.Input) int {
+		n := 0
+		for _, m := range in.State.Members() {
+			if m.Phase == assign.Serving {
+				n++
+			}
+		}
+		return n
+	}
+	before := serving(in)
+	if before != 102 {
+		t.Fatalf("%d instances serve to begin with, want half of the pools'", before)
+	}
+	other, own := in, in
+	other.Evacuations = evacuation.Known([]evacuation.Request{{Zone: "zone-b"}})
+	other.State = settle(other)
+	if got := serving(other); got != 250-46 {
+		t.Errorf("%d instances serve while the other zone is evacuated, %d before; want all 204 of the pools", got, before)
+	}
+	other.Evacuations = evacuation.None
+	other.State = settle(other)
+	if got := serving(other); got != 250-46 {
+		t.Errorf("%d instances serve as soon as the other zone is open, want those that do to be kept", got)
+	}
+	own.Evacuations = evacuation.Known([]evacuation.Request{{Zone: "zone-a"}})
+	if c := assign.Decide(own); !c.Empty() {
+		t.Errorf("%d steps in the evacuated zone", len(c.Steps))
+	}
+}
--- a/assign/explain.go
+++ b/assign/explain.go
@@ -5,6 +5,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/evacuation"
 )
 
 // This file defines explanations: the facts that a decision goes by, and what
@@ -57,20 +58,28 @@
 }
 
 // ExplainPool explains how a pool stands in a zone.
-func ExplainPool(s *State, t *config.Template, zones []pointport.ZoneID, zone pointport.ZoneID, share int) Explanation {
+func ExplainPool(s *State, t *config.Template, zones []pointport.ZoneID, zone pointport.ZoneID, evacuated evacuation.Zones, share int) Explanation {
 	phases := make(map[Phase]int)
 	for _, m := range s.Members() {
 		if m.Pool == t.Name {
 			phases[m.Phase]++
 		}
 	}
-	size, spare := ZoneSize(t, zones, zone), ZoneSpare(t, zones, zone)
+	open := sharing(zones, zone, evacuated)
+	size, spare := ZoneSize(t, open, zone), ZoneSpare(t, open, zone)
 	e := Explanation{Subject: fmt.Sprintf("pool %s in zone %s", t.Name, zone)}
 	e.Stands = fmt.Sprintf("%d serving of %d needed and %d spare", phases[Serving], size, spare)
 	e.fact("template: size %d over %d zones, spare %s, budget %s, wave speed %s", t.Pool.Size, len(zones), t.Pool.Spare, t.Maintenance.Budget, t.Maintenance.Speed)
+	switch {
+	case evacuated.Standing(zone) == evacuation.Evacuated:
+		e.fact("the zone is evacuated: nothing more is sent to its instances")
+		e.next("they are used again once an operator takes that back")
+	case len(open) < len(zones):
+		e.fact("%d of the zones are evacuated, and their parts fall to the others", len(zones)-len(open))
+	}
 	e.fact("this zone's share of the budget is %d", share)
 	e.fact("draining %d, rebooting %d, failed %d", phases[Draining], phases[Rebooting], phases[Failed])
-	room := phases[Serving] - (size - share)
+	room := phases[Serving] - (ZoneSize(t, zones, zone) - share)
 	e.fact("%d more may go out of service now, if all that serve are seen to work", max(0, room))
 	if missing := size + spare - phases[Serving] - phases[Draining] - phases[Rebooting]; missing > 0 {
 		e.next("%d more are taken as spare instances of a fitting shape appear in the zone", missing)
--- a/assign/size.go
+++ b/assign/size.go
@@ -1,11 +1,13 @@
 package assign
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/evacuation"
 )
 
 // This file defines how many instances a pool has in the zone, and which.
@@ -64,9 +66,20 @@
 	return 0
 }
 
-// need returns how many instances the pool should have in the zone.
+// need returns how many instances the pool should have in the zone. While others are
+// evacuated it has their part as well, as far as it has instances; a zone that is evacuated
+// keeps its own, so that they are there once it is open again.
 func (d *decision) need(t *config.Template) int {
-	return ZoneSize(t, d.in.Zones, d.in.Zone) + ZoneSpare(t, d.in.Zones, d.in.Zone)
+	zones := sharing(d.in.Zones, d.in.Zone, d.in.Evacuations)
+	return ZoneSize(t, zones, d.in.Zone) + ZoneSpare(t, zones, d.in.Zone)
+}
+
+// sharing returns the zones over which pools are split for a zone.
+func sharing(zones []pointport.ZoneID, zone pointport.ZoneID, evacuated evacuation.Zones) []pointport.ZoneID {
+	if len(evacuated.Requests()) == 0 || evacuated.Standing(zone) == evacuation.Evacuated {
+		return zones
+	}
+	return slices.DeleteFunc(slices.Clone(zones), func(z pointport.ZoneID) bool { return evacuated.Standing(z) == evacuation.Evacuated })
 }
 
 // held returns the members that the pool can count on: those that serve, and
--- a/cli/all.go
+++ b/cli/all.go
@@ -11,7 +11,7 @@
 // OperatorGroups returns the subcommands of pointport.
 func OperatorGroups() []Group {
 	return []Group{
-		{"commands", []*Command{Apply(), Delete(), Wave(), Job(), Workload()}},
+		{"commands", []*Command{Apply(), Delete(), Wave(), Evacuate(), Job(), Workload()}},
 		{"queries", []*Command{Get(), Status(), Audit(), Explain(), Plan(), Trace()}},
 		{"trials", []*Command{Standin(), Grid(), Load(), Evaluate()}},
 	}
--- a/cli/config.go
+++ b/cli/config.go
@@ -23,7 +23,7 @@
 
 // Apply returns the subcommand that sends documents.
 func Apply() *Command {
-	c := newCommand("apply", "", "send templates, parameters and waves from a file")
+	c := newCommand("apply", "", "send templates, parameters, waves and evacuations from a file")
 	var o operatorFlags
 	o.defineAuthor(c)
 	var file, reason, id string
@@ -158,7 +158,7 @@
 
 // Get returns the subcommand that shows objects.
 func Get() *Command {
-	c := newCommand("get", "[KIND [NAME]]", "show templates, parameters and waves")
+	c := newCommand("get", "[KIND [NAME]]", "show templates, parameters, waves and evacuations")
 	var o operatorFlags
 	o.define(c)
 	c.run = func(ctx context.Context, out io.Writer, args []string) error {
@@ -203,7 +203,7 @@
 
 // Delete returns the subcommand that removes an object.
 func Delete() *Command {
-	c := newCommand("delete", "KIND NAME", "remove a template, parameters or a wave")
+	c := newCommand("delete", "KIND NAME", "remove a template, parameters, a wave or an evacuation")
 	var o operatorFlags
 	o.defineAuthor(c)
 	var reason string
@@ -212,12 +212,10 @@
 		if err := need(args, 2, "KIND and NAME"); err != nil {
 			return err
 		}
-		q := url.Values{"id": {uuid.NewString()}, "author": {o.author}, "reason": {reason}}
-		var change config.Change
-		if err := o.client().Call(ctx, http.MethodDelete, objectPath(config.Kind(args[0]), args[1]), q, nil, &change); err != nil {
+		a := &applier{client: o.client(), author: o.author, reason: reason, id: uuid.NewString()}
+		if err := a.removeOne(ctx, config.Kind(args[0]), args[1]); err != nil {
 			return err
 		}
-		a := &applier{done: []applied{{change.Removed, "removed", change.Version, change.ID}}}
 		return a.print(&o, out)
 	}
 	return c
--- a/config/doc.go
+++ b/config/doc.go
@@ -1,5 +1,6 @@
 // Package config defines what operators configure: templates of pools and the
-// services on them, customers' parameters, and maintenance waves.
+// services on them, customers' parameters, maintenance waves, and availability zones
+// that are to be left empty.
 //
 // The model: an Object is one document of one kind, known by its kind and name.
 // A State is an immutable set of objects at one version. Applying a Change to a
--- a/config/object.go
+++ b/config/object.go
@@ -23,10 +23,11 @@
 	KindTemplate   Kind = "Template"
 	KindParameters Kind = "Parameters"
 	KindWave       Kind = "Wave"
+	KindEvacuation Kind = "Evacuation"
 )
 
 // Kinds lists the kinds of objects.
-func Kinds() []Kind { return []Kind{KindTemplate, KindParameters, KindWave} }
+func Kinds() []Kind { return []Kind{KindTemplate, KindParameters, KindWave, KindEvacuation} }
 
 // Parameters are what one customer fills in: what a template leaves to it, and
 // its own quota and share.
@@ -136,6 +137,7 @@
 	_ body = (*Template)(nil)
 	_ body = (*Parameters)(nil)
 	_ body = (*Wave)(nil)
+	_ body = (*Evacuation)(nil)
 )
 
 // An Object is one checked document.
@@ -261,8 +263,10 @@
 		return new(Parameters), nil
 	case KindWave:
 		return new(Wave), nil
+	case KindEvacuation:
+		return new(Evacuation), nil
 	}
-	return nil, oneError(source, "kind", string(d.Kind), "must be one of Template, Parameters, Wave")
+	return nil, oneError(source, "kind", string(d.Kind), "must be one of Template, Parameters, Wave, Evacuation")
 }
 
 // ParseObject reads and checks one document in JSON.
@@ -283,7 +287,7 @@
 	return NewObject(b), nil
 }
 
-// NewObject returns the object of a template, parameters or a wave.
+// NewObject returns the object of a template, parameters, a wave or an evacuation.
 func NewObject(document any) Object {
 	switch b := document.(type) {
 	case *Template:
@@ -292,6 +296,8 @@
 		return Object{KindParameters, b.Name, b}
 	case *Wave:
 		return Object{KindWave, b.Name, b}
+	case *Evacuation:
+		return Object{KindEvacuation, b.Name, b}
 	}
 	panic(fmt.Sprintf("config: %T is no document", document))
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -276,3 +276,46 @@
 		t.Errorf("the plan made configuration version %d", v)
 	}
 }
+
+// TestEvacuation evacuates an availability zone by the operators' API and takes that back, at
+// an entry instance that does not plan it. Requests are refused as not run, with a time to come
+// back, jobs wait, and the audit trail has both.
+func TestEvacuation(t *testing.T) {
+	_, _, platform := startPlatform(t)
+	a, b := startEntry(t, platform, "a"), startEntry(t, platform, "b")
+	if err := put(t, a, "0", shiftTemplate); err != nil {
+		t.Fatal(err)
+	}
+	served := func() bool {
+		status, _, _ := ask(t, b, http.MethodGet, "/shift/1", "")
+		return status == http.StatusOK
+	}
+	until(t, "requests are served", served)
+	err := put(t, a, "0", "kind: Evacuation\nname: zone-x\n")
+	if failed, ok := err.(*operator.Error); !ok || !strings.Contains(failed.Message, "zone-x") || !strings.Contains(failed.Message, "zone-a") {
+		t.Errorf("an availability zone that there is not: %v, want an error that names it and those that there are", err)
+	}
+	if err := put(t, a, "0", "kind: Evacuation\nname: zone-a\nreason: cooling\n"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "requests are refused", func() bool { return !served() })
+	if status, ran, body := ask(t, b, http.MethodPost, "/payout", "tip-9"); status != http.StatusServiceUnavailable || ran != "no" {
+		t.Errorf("a payout while the only zone is evacuated: status %d, ran %s: %s", status, ran, body)
+	}
+	client := operator.NewClient(a.Address("operators"))
+	q := url.Values{"author": {"ana"}, "reason": {"cooling is back"}}
+	if err := client.Call(context.Background(), http.MethodDelete, "/v1/config/Evacuation/zone-a", q, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "requests are served again", served)
+	var list []query.Entry
+	if err := client.Call(context.Background(), http.MethodGet, "/v1/audit", nil, nil, &list); err != nil {
+		t.Fatal(err)
+	}
+	trail := fmt.Sprint(list)
+	for _, want := range []string{"Evacuation/zone-a created", "Evacuation/zone-a removed", "cooling is back"} {
+		if !strings.Contains(trail, want) {
+			t.Errorf("the audit trail does not say %q:\n%s", want, trail)
+		}
+	}
+}
--- a/daemon/feeder.go
+++ b/daemon/feeder.go
@@ -9,6 +9,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/assign"
 	"github.com/pointport/pointport/dispatch"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 )
 
@@ -114,10 +115,13 @@
 		services[t.Name] = t.Service
 	}
 	targets := make(map[string][]dispatch.Target)
+	zones := cfg.Evacuations()
 	f.mu.Lock()
 	for _, log := range e.assigns {
 		for _, m := range log.State().Members() {
-			if t, ok := f.target(m); ok && services[m.Pool] != "" {
+			t, ok := f.target(m)
+			t.Evacuated = zones.Standing(m.Zone) != evacuation.Open
+			if ok && services[m.Pool] != "" {
 				targets[services[m.Pool]] = append(targets[services[m.Pool]], t)
 			}
 		}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -6,8 +6,8 @@
 // ejection and the next waiting request.
 //
 // Invariants: a grant never exceeds the upstream's slots nor this entry
-// instance's share of its connections; an upstream that is known to be leaving
-// gets no new grant; a bounded part of the upstreams may be ejected at once;
+// instance's share of its connections; an upstream that is known to be leaving, or
+// whose availability zone is evacuated, gets no new grant; a bounded part of the upstreams may be ejected at once;
 // every request that waits gets a grant or a refusal, exactly one.
 //
 // The package does no input or output: what a grant is used for is the
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -86,6 +86,9 @@
 type Target struct {
 	Instance pointport.Instance
 	Leaving  bool // no new work, but what is in flight goes on
+	// Evacuated says that its availability zone is to be left empty: the same, until a later
+	// Update says otherwise.
+	Evacuated bool
 }
 
 // A Service spreads requests over upstreams. It is safe for concurrent use.
@@ -174,6 +177,7 @@
 	// A sign of leaving stays until the instance has booted again, because the
 	// platform's list lags behind it.
 	u.leaving = u.leaving || t.Leaving
+	u.evacuated = t.Evacuated
 	s.byID[t.Instance.ID] = u
 	if u.ownZone {
 		s.own = append(s.own, u)
@@ -273,7 +277,7 @@
 // usable reports whether any upstream may get work, now or after its ejection.
 func (s *Service) usable() bool {
 	for _, u := range s.byID {
-		if !u.leaving {
+		if !u.closed() {
 			return true
 		}
 	}
@@ -371,11 +375,11 @@
 	return first
 }
 
-// pickNext ignores every limit but the sign of leaving.
+// pickNext ignores every limit but the signs that an upstream gets no new work.
 func (s *Service) pickNext(all pointport.Unlimited) *upstream {
 	group := slices.Concat(s.own, s.other)
 	for range group {
-		if u := group[all.Next(len(group))]; !u.leaving {
+		if u := group[all.Next(len(group))]; !u.closed() {
 			return u
 		}
 	}
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -17,10 +17,12 @@
 	Limit    float64              `json:"limit"`
 	Latency  time.Duration        `json:"latency"` // in nanoseconds
 	Leaving  bool                 `json:"leaving"`
-	Ejected  bool                 `json:"ejected"`
-	Served   int64                `json:"served"`
-	Failed   int64                `json:"failed"`
-	Refused  int64                `json:"refused"`
+	// Evacuated says that its availability zone is to be left empty.
+	Evacuated bool  `json:"evacuated,omitempty"`
+	Ejected   bool  `json:"ejected"`
+	Served    int64 `json:"served"`
+	Failed    int64 `json:"failed"`
+	Refused   int64 `json:"refused"`
 }
 
 // A Status is what a query shows of a service on this entry instance.
@@ -40,7 +42,7 @@
 	for _, u := range slices.Concat(s.own, s.other) {
 		st.Upstreams = append(st.Upstreams, UpstreamStatus{
 			Instance: u.instance.ID, Zone: u.instance.Zone, InFlight: u.inFlight, Limit: u.limit,
-			Latency: u.recent, Leaving: u.leaving, Ejected: now.Before(u.until),
+			Latency: u.recent, Leaving: u.leaving, Evacuated: u.evacuated, Ejected: now.Before(u.until),
 			Served: u.served, Failed: u.failed, Refused: u.refused,
 		})
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -38,7 +38,9 @@
 	instance pointport.Instance
 	ownZone  bool
 	leaving  bool
-	inFlight int
+	// evacuated says that its availability zone is to be left empty.
+	evacuated bool
+	inFlight  int
 
 	limit   float64 // adapts between 1 and the slots
 	cutAt   time.Time
@@ -56,9 +58,12 @@
 	return &upstream{instance: i, ownZone: ownZone, limit: max(1, float64(t.Upstream.Slots)/2)}
 }
 
+// closed reports whether the upstream gets no new work, whatever room it has.
+func (u *upstream) closed() bool { return u.leaving || u.evacuated }
+
 // room returns how many more requests the upstream may get now.
 func (u *upstream) room(now time.Time, slots, share int) int {
-	if u.leaving {
+	if u.closed() {
 		return 0
 	}
 	if !u.until.IsZero() {
--- a/job/decide.go
+++ b/job/decide.go
@@ -39,6 +39,8 @@
 	// Quotas bounds what a customer's jobs use at once, in thousandths of a
 	// processor.
 	Quotas map[string]int64
+	// Evacuated says that the availability zone is to be left empty, so that no job starts.
+	Evacuated bool
 }
 
 type decision struct {
@@ -212,6 +214,10 @@
 		if d.isFull() {
 			return
 		}
+		if d.in.Evacuated {
+			d.wait(j, "its availability zone is evacuated")
+			continue
+		}
 		d.placeOne(j)
 	}
 }
--- a/job/decide_test.go
+++ b/job/decide_test.go
@@ -131,3 +131,25 @@
 		})
 	}
 }
+
+// TestNoJobStartsInAnEvacuatedZone keeps jobs waiting, with the reason, until the zone is open.
+func TestNoJobStartsInAnEvacuatedZone(t *testing.T) {
+	in := grid(t, 4, 3, nil)
+	in.Evacuated = true
+	in = apply(t, in, job.Decide(in))
+	for _, j := range in.State.Jobs() {
+		if j.Phase != job.Waiting || j.Reason != "its availability zone is evacuated" {
+			t.Errorf("%s is %s: %s", j.ID, j.Phase, j.Reason)
+		}
+	}
+	if steps := job.Decide(in); len(steps) != 0 {
+		t.Errorf("%d steps although nothing has changed", len(steps))
+	}
+	in.Evacuated = false
+	in = apply(t, in, job.Decide(in))
+	for _, j := range in.State.Jobs() {
+		if j.Phase != job.Running {
+			t.Errorf("%s is %s although the zone is open: %s", j.ID, j.Phase, j.Reason)
+		}
+	}
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -11,8 +11,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -210,10 +212,22 @@
 	if o.ID() != id {
 		return nil, &command.FieldError{Field: "name", Value: o.ID(), Reason: "is not what the path names: " + id}
 	}
+	if err := a.checkZone(&o); err != nil {
+		return nil, err
+	}
 	p.Object = &o
 	return command.Configure(c.Request().Context(), a.source.Config, a.clock, p)
 }
 
+// checkZone refuses the evacuation of an availability zone that there is not: it would do
+// nothing, and its author would count on it.
+func (a *API) checkZone(o *config.Object) error {
+	if o.Kind() != config.KindEvacuation || slices.Contains(a.source.Zones, pointport.ZoneID(o.Name())) {
+		return nil
+	}
+	return &command.FieldError{Field: "name", Value: o.Name(), Reason: fmt.Sprintf("must be one of the availability zones %v", a.source.Zones)}
+}
+
 func (a *API) remove(c iris.Context) (any, error) {
 	p, err := a.proposal(c)
 	if err != nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,7 @@
 	"github.com/pointport/pointport/assign"
 	"github.com/pointport/pointport/changelog"
 	"github.com/pointport/pointport/config"
+	"github.com/pointport/pointport/evacuation"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/job"
 )
@@ -133,7 +134,7 @@
 	cfg := p.sources.Config()
 	in := job.Input{
 		Now: p.clock.Now(), State: state, Members: p.sources.Assign().Members(), Tasks: tasks,
-		Services: make(map[string]string), Quotas: make(map[string]int64),
+		Services: make(map[string]string), Quotas: make(map[string]int64), Evacuated: p.evacuated(),
 	}
 	for _, t := range cfg.Templates() {
 		in.Services[t.Name] = t.Service
@@ -144,6 +145,11 @@
 	return in
 }
 
+// evacuated reports whether nothing may be started in the availability zone.
+func (p *Placer) evacuated() bool {
+	return p.sources.Config().Evacuations().Standing(p.zone) != evacuation.Open
+}
+
 func (p *Placer) commit(ctx context.Context, state *job.State, steps []job.Step) (*job.State, error) {
 	change := job.Change{
 		ID: uuid.NewString(), Version: state.Version() + 1, Author: p.author,
@@ -190,6 +196,8 @@
 	for _, j := range state.Jobs() {
 		var err error
 		switch {
+		case j.Phase == job.Running && !known[j.Task] && p.evacuated():
+			// It is told once the availability zone is open again.
 		case j.Phase == job.Running && !known[j.Task]:
 			err = p.runner.StartTask(ctx, pointport.Task{
 				ID: j.Task, Instance: j.Instance, Kind: j.Kind, Need: j.Need, Runtime: j.Runtime, Lease: job.DefaultLease,
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -125,10 +125,13 @@
 }
 
 // placer returns a new placer that has read the log, as after a restart.
-func (g *grid) placer() (*placer.Placer, *placer.JobLog) {
+func (g *grid) placer() (*placer.Placer, *placer.JobLog) { return g.placerWith(g.runner) }
+
+// placerWith returns one whose tasks are run by runner.
+func (g *grid) placerWith(runner pointport.TaskRunner) (*placer.Placer, *placer.JobLog) {
 	log := g.log()
 	sources := placer.Sources{Config: func() *config.State { return g.config }, Assign: func() *assign.State { return g.assign }}
-	return placer.New(g.clock, "zone-a", g.runner, sources, log, always{}), log
+	return placer.New(g.clock, "zone-a", runner, sources, log, always{}), log
 }
 
 func (g *grid) submit(key string, cpu int64, billed bool) (job.Job, error) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -201,7 +201,7 @@
 func (p *Planner) input(now time.Time, state *assign.State, listed []pointport.Instance) assign.Input {
 	cfg := p.configs.State()
 	in := assign.Input{
-		Now: now, Zone: p.zone, Zones: p.zones, State: state, Templates: cfg.Effective(now),
+		Now: now, Zone: p.zone, Zones: p.zones, State: state, Templates: cfg.Effective(now), Evacuations: cfg.Evacuations(),
 		Listed: listed, Quiet: p.seen.quietFor(), Absent: p.seen.absent,
 		Share: func(t *config.Template) int { return p.share(state, t) },
 	}
--- a/query/query.go
+++ b/query/query.go
@@ -198,7 +198,7 @@
 	}
 	var out []assign.Explanation
 	for _, zone := range s.Zones {
-		out = append(out, assign.ExplainPool(s.Assign[zone].State(), t, s.Zones, zone, assign.ZoneShare(t, s.Zones)+s.Assign[zone].State().Pool(name).Float))
+		out = append(out, assign.ExplainPool(s.Assign[zone].State(), t, s.Zones, zone, s.Config.State().Evacuations(), assign.ZoneShare(t, s.Zones)+s.Assign[zone].State().Pool(name).Float))
 	}
 	return out
 }
