--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,14 +98,16 @@
 	change()
 }
 
+// soakZones are the availability zones.
+var soakZones = []pointport.ZoneID{"north", "south"}
+
 // newSoak starts a grid and entries in front of it.
 func newSoak(t *testing.T, r *rand.Rand, dir string) *soak {
 	t.Helper()
 	s := &soak{jobs: &jobs{byID: make(map[string]*ticket)}, began: time.Now(), ways: make(map[pointport.InstanceID]*proxy)}
 	t.Cleanup(s.closeWays)
-	zones := []pointport.ZoneID{"north", "south"}
 	g, err := grid.Start(clock.System{}, grid.Settings{
-		Pools: []string{"shift", "payout"}, PerPool: 4, Zones: zones, Host: host, HolderTime: holderTime,
+		Pools: []string{"shift", "payout"}, PerPool: 4, Zones: soakZones, Host: host, HolderTime: holderTime,
 		Capacity: soakCapacity, Work: s.jobs.work, Customers: soakCustomers(), Keys: soakKeys(), Front: s.front,
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -117,7 +119,7 @@
 		s.queues = append(s.queues, &s.catalog.Queues[i])
 	}
 	for n := range *entries {
-		s.addEntry(t, r, dir, fmt.Sprintf("entry-%d", n+1), zones[n%len(zones)])
+		s.addEntry(t, r, dir, fmt.Sprintf("entry-%d", n+1), soakZones[n%len(soakZones)])
 	}
 	s.awaitReady(t)
 	return s
@@ -321,6 +323,7 @@
 		fleet.Go(func() { s.disturb(ctx, t, rand.New(rand.NewPCG(seed, 4)), strains) })
 		fleet.Go(func() { s.comeBack(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	}
+	fleet.Go(func() { s.evacuateZones(ctx, rand.New(rand.NewPCG(seed, 6))) })
 	s.disturb(ctx, t, r, troubles)
 	fleet.Wait()
 	s.grid.SetList(0, 0)
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"syscall"
 	"testing"
@@ -114,6 +115,28 @@
 	return e
 }
 
+// evacuateZones has one availability zone after the other left empty until ctx ends.
+func (s *soak) evacuateZones(ctx context.Context, r *rand.Rand) {
+	const most = 5000 // milliseconds; nothing may be started after testbed.EvacuationTime
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(r.IntN(2000))*time.Millisecond)
+		zone := soakZones[r.IntN(len(soakZones))]
+		s.tell("zone %s evacuated", zone)
+		s.grid.Evacuate(zone)
+		pause(ctx, time.Duration(4000+r.IntN(most))*time.Millisecond)
+		s.tell("zone %s open", zone)
+		s.grid.Open(zone)
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // startWave asks that some machines be maintained.
 func (s *soak) startWave(r *rand.Rand) {
 	ids := s.grid.Fleet().IDs()
--- a/standin/grid/grid.go
+++ b/standin/grid/grid.go
@@ -254,6 +254,18 @@
 	g.commit(pointport.Txn{Put: []pointport.Put{platform.EncodeWave(w)}})
 }
 
+// Evacuate asks that an availability zone be left empty.
+func (g *Grid) Evacuate(zone pointport.ZoneID) {
+	g.commit(pointport.Txn{Put: []pointport.Put{platform.EncodeEvacuation(zone)}})
+	g.fleet.Evacuate(zone)
+}
+
+// Open takes that back.
+func (g *Grid) Open(zone pointport.ZoneID) {
+	g.fleet.Open(zone)
+	g.commit(pointport.Txn{Delete: []string{platform.EncodeEvacuation(zone).Key}})
+}
+
 // WaveCompleted reports whether a wave is said to be completed.
 func (g *Grid) WaveCompleted(id int64) (bool, error) {
 	done := platform.WaveStatus(id, true)
@@ -285,5 +297,6 @@
 		MaxHold: testbed.MaxHold, StopTime: testbed.DefaultStopTime, GangTime: testbed.DefaultGangTime,
 		StatusTime: 2 * time.Minute, Grace: 6 * time.Second, MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep,
 		Notice: 4500 * time.Millisecond, HolderTime: g.settings.HolderTime, MinLeaseTTL: time.Second, FarFactor: 2,
+		EvacuationTime: testbed.EvacuationTime,
 	}
 }
