What members that own nothing ask of the store at rest falls with their number

All watches of the configuration together now end a hundred times a second, bounded by what the time within which a change must be in force leaves for a connection that has gone silent (config_apply_ms). At twice the size the first two stay where they are (100 a second each), renewals grow with M.

A change is in force in 5 s among 400 members of which each has one silent watch.

--- a/cli/join.go
+++ b/cli/join.go
@@ -163,7 +163,7 @@
 		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), MaxHold: s.MaxHold, Grace: s.Grace,
 		GangTime: s.GangTime, FarFactor: s.FarFactor, HolderTime: s.HolderTime, MachineOrders: s.MachineCalls,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, UpkeepTime: s.UpkeepTime}, Full: guard.Near,
-		Keys: node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime}, EvacuationTime: s.EvacuationTime,
+		Keys: node.KeyPolicy{Strict: s.StrictKeys, Time: s.KeyTime}, ConfigTime: s.ConfigTime, EvacuationTime: s.EvacuationTime,
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
--- a/member/key.go
+++ b/member/key.go
@@ -40,6 +40,7 @@
 	take  func(pointport.Entry)
 	heard func(error)
 	every func() time.Duration // from one time that the key is made sure of to the next
+	wait  func() time.Duration // for how long a watch may wait
 
 	known   pointport.Revision // of the key, zero if it does not exist
 	at      pointport.Revision // from which a watch sees all later changes
@@ -55,6 +56,9 @@
 	return func(f *keyFollower) { f.every = every }
 }
 
+// KeyWait sets for how long a watch of the key may wait, where many follow it.
+func KeyWait(wait func() time.Duration) KeyOption { return func(f *keyFollower) { f.wait = wait } }
+
 // defaultRecheck returns how often a key is made sure of by default.
 func defaultRecheck() time.Duration { return DefaultRecheck }
 
@@ -62,7 +66,7 @@
 // changed, heard with how each question to the store ended: with nil, what is known is
 // as new as the store was when the question was sent.
 func FollowKey(ctx context.Context, kv pointport.KV, clock pointport.Clock, key string, take func(pointport.Entry), heard func(error), options ...KeyOption) {
-	f := &keyFollower{kv: kv, clock: clock, key: key, take: take, heard: heard, every: defaultRecheck}
+	f := &keyFollower{kv: kv, clock: clock, key: key, take: take, heard: heard, every: defaultRecheck, wait: defaultWait}
 	for _, o := range options {
 		o(f)
 	}
@@ -109,7 +113,7 @@
 	case f.unsure:
 		return f.watch(ctx, glance)
 	}
-	return f.watch(ctx, watchWait)
+	return f.watch(ctx, f.wait())
 }
 
 // check makes sure that the key is at the known revision, or takes its newest state.
--- a/member/roster.go
+++ b/member/roster.go
@@ -70,7 +70,7 @@
 		refused: make(map[string]pointport.Revision), changed: make(chan struct{}),
 	}
 	session.guard(r.engaged)
-	go Follow(ctx, kv, clock, rosterPrefix, r.reset, r.apply, WakeOn(session.Back), Wait(r.watchWait), RestAfter(r.watchRest))
+	go Follow(ctx, kv, clock, rosterPrefix, r.reset, r.apply, WakeOn(session.Back), Wait(r.watchWait), Reread(r.reread), RestAfter(r.watchRest))
 	go func() {
 		var pause backoff
 		for ctx.Err() == nil {
@@ -95,7 +95,11 @@
 	// watches together end a hundred times a second; waitMost bounds it. A connection
 	// that has gone silent is noticed when the wait is over.
 	waitShare = 10 * time.Millisecond
-	waitMost  = 3 * time.Second
+	waitMost  = 10 * time.Second
+	// rereadShare is for each member how often all keys of the roster are read again at most:
+	// there are as many as members, some 200 bytes each, so a member receives 2 KB a second
+	// of them however many there are.
+	rereadShare = 100 * time.Millisecond
 	// restShare is for each member beyond restFrom how long to wait after members came or
 	// went until the roster is asked for the next change. Each change is told to every
 	// member, so when 300 start within a second they would be told 90,000 times, and the
@@ -110,6 +114,11 @@
 	return min(max(time.Duration(r.Size())*waitShare, watchWait), waitMost)
 }
 
+// reread returns how often all keys are read again at most.
+func (r *Roster) reread() time.Duration {
+	return max(DefaultReread, time.Duration(r.Size())*rereadShare)
+}
+
 // watchRest returns how long to wait after some changes until the next are asked for.
 // What concerns an owner is followed without a break.
 func (r *Roster) watchRest(changes []pointport.Entry) time.Duration {
--- a/member/watch.go
+++ b/member/watch.go
@@ -37,6 +37,7 @@
 	reset  func([]pointport.Entry)
 	apply  func([]pointport.Entry)
 	reread time.Duration // from one reading of all keys to the next
+	every  func() time.Duration
 	rest   func([]pointport.Entry) time.Duration
 	wait   func() time.Duration // for how long a watch may wait
 	at     pointport.Revision
@@ -65,6 +66,12 @@
 // Wait sets for how long a watch may wait, where many follow the same keys.
 func Wait(wait func() time.Duration) FollowOption { return func(f *Follower) { f.wait = wait } }
 
+// Reread sets how often all keys are read again at most, where many follow many keys.
+func Reread(every func() time.Duration) FollowOption { return func(f *Follower) { f.every = every } }
+
+// defaultReread returns how often all keys are read again by default.
+func defaultReread() time.Duration { return DefaultReread }
+
 // WakeOn has all keys read again as soon as the channel that back returns is closed: the
 // store answers again, and a question that was put while it did not may wait for its
 // time to pass, up to 1.7 s with its repetitions.
@@ -78,7 +85,7 @@
 // keys when they are read, apply with each change; a deleted key is an entry
 // that does not exist.
 func Follow(ctx context.Context, kv pointport.KV, clock pointport.Clock, prefix string, reset, apply func([]pointport.Entry), options ...FollowOption) {
-	f := &Follower{kv: kv, clock: clock, prefix: prefix, reset: reset, apply: apply, reread: DefaultReread, back: never, rest: noRest, wait: defaultWait, heard: func(error) {}}
+	f := &Follower{kv: kv, clock: clock, prefix: prefix, reset: reset, apply: apply, reread: DefaultReread, every: defaultReread, back: never, rest: noRest, wait: defaultWait, heard: func(error) {}}
 	for _, o := range options {
 		o(f)
 	}
@@ -126,7 +133,7 @@
 			from := f.clock.Now()
 			if err = f.readAll(ctx); err == nil {
 				read = from
-				f.reread = max(DefaultReread, (1+rereadRest)*f.clock.Now().Sub(from))
+				f.reread = max(f.every(), (1+rereadRest)*f.clock.Now().Sub(from))
 			}
 		} else {
 			err = f.watch(ctx)
--- a/memory/kv.go
+++ b/memory/kv.go
@@ -57,8 +57,12 @@
 	return k
 }
 
-// errDeaf is the cause of a call's end without an answer.
-var errDeaf = errors.New("stand-in store gave no answer")
+// errDeaf is the cause of a call's end without an answer, errSilentWatch of a watch's that is
+// told only after its wait.
+var (
+	errDeaf        = errors.New("stand-in store gave no answer")
+	errSilentWatch = errors.New("stand-in store gave no answer to a watch")
+)
 
 // call runs one operation under its fault and returns its answer. A call without an
 // answer waits until its context ends, as on a network.
@@ -75,6 +79,8 @@
 		return none, &pointport.UnavailableError{Op: op, Key: key, Busy: true, Err: errBusy}
 	case FaultLostCall:
 		return none, k.silence(ctx, op, key, changes)
+	case FaultSilentWatch:
+		return none, &pointport.UnavailableError{Op: op, Key: key, Ambiguous: changes, Err: errSilentWatch}
 	case FaultLate:
 		go func() {
 			<-k.store.clock.After(lateBy)
@@ -244,6 +250,9 @@
 			}
 			return heardOf{k.store.since(prefix, after), k.store.changed}, nil
 		})
+		if errors.Is(err, errSilentWatch) {
+			_ = k.sleep(ctx, wait+callTimeout)
+		}
 		if err != nil || len(heard.changes.Entries) > 0 {
 			return heard.changes, err
 		}
--- a/memory/store.go
+++ b/memory/store.go
@@ -23,12 +23,13 @@
 
 // The faults that can be brought about.
 const (
-	FaultNone       Fault = iota // the call works
-	FaultBefore                  // the call fails and has no effect
-	FaultLostAnswer              // the call takes effect and its answer is lost
-	FaultLostCall                // the call has no effect, and the caller cannot tell
-	FaultBusy                    // the call is refused because there are too many
-	FaultLate                    // the call takes effect seconds later, without an answer
+	FaultNone        Fault = iota // the call works
+	FaultBefore                   // the call fails and has no effect
+	FaultLostAnswer               // the call takes effect and its answer is lost
+	FaultLostCall                 // the call has no effect, and the caller cannot tell
+	FaultBusy                     // the call is refused because there are too many
+	FaultLate                     // the call takes effect seconds later, without an answer
+	FaultSilentWatch              // a watch gets no answer, which its caller notices after its wait
 )
 
 // errDown is the cause of every failure that a fault brings about.
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -71,6 +71,8 @@
 	// counts them.
 	perSecond float64
 	counts    *counted
+	// configTime is within which time a change of the configuration must be in force.
+	configTime time.Duration
 	// loose says that nodes stand still as a loose machineClock does.
 	loose bool
 }
@@ -129,6 +131,11 @@
 	return func(c *cluster, _ *[]testbed.Option) { c.keys = p }
 }
 
+// withConfigTime sets within which time a change of the configuration must be in force.
+func withConfigTime(d time.Duration) clusterOption {
+	return func(c *cluster, _ *[]testbed.Option) { c.configTime = d }
+}
+
 // withOrders has the platform say how many orders about instances it takes in a second, and a
 // service count them.
 func withOrders(perSecond float64, counts *counted) clusterOption {
@@ -354,7 +361,8 @@
 		Name: name, Zone: "north", Addresses: node.Addresses{Peers: ""}, LeaseTTL: member.DefaultTTL,
 		TaskLease: 4 * time.Second, Grace: 6 * time.Second, HolderTime: holderTime, PeerName: name, MachineOrders: c.perSecond,
 		GangTime: testbed.DefaultGangTime, FarFactor: 2,
-		Capacity: capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep}, Keys: c.keys,
+		ConfigTime: c.configTime,
+		Capacity:   capacity.Settings{MoveTime: testbed.DefaultMoveTime, UpkeepTime: testbed.DefaultUpkeep}, Keys: c.keys,
 		Full: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -25,10 +25,20 @@
 	// fleetRest is how long to wait between two changes of registrations, which
 	// change with every heartbeat of every instance.
 	fleetRest = 100 * time.Millisecond
-	// configLate is after which time without a confirmed newest version a node says
-	// so. A change must be in force within two seconds, and a watch alone may take
-	// one to end.
-	configLate = 2 * time.Second
+	// DefaultConfigTime is the time within which a change must be in force where the platform
+	// does not tell.
+	DefaultConfigTime = 2 * time.Second
+	// configWaitShare is for each member how long a watch of the configuration may wait, so
+	// that all watches together end a hundred times a second. configWaitLeast is the least,
+	// and the most is configWaitPart of the time within which a change must be in force: a
+	// connection that has gone silent is noticed when the wait is over and configAnswer later,
+	// and the change has to be read after that.
+	configWaitShare = 10 * time.Millisecond
+	configWaitLeast = time.Second
+	configWaitPart  = 0.6
+	// configAnswer is within which time after its wait a watch ends. A node that has not
+	// been told so says that it does not know whether its version is the newest.
+	configAnswer = time.Second
 	// configRecheckShare is for each member the time between two conditional reads of the
 	// configuration, so that all together make 20 of them a second, a twentieth of the
 	// least that a store takes of writing calls; configRecheckMost keeps it within the
@@ -37,6 +47,13 @@
 	configRecheckMost  = 15 * time.Second
 )
 
+// configWait returns how long a watch of the configuration of one of so many members may wait
+// if a change must be in force within a time.
+func configWait(members int, within time.Duration) time.Duration {
+	most := max(time.Duration(configWaitPart*float64(within)), configWaitLeast)
+	return min(max(time.Duration(members)*configWaitShare, configWaitLeast), most)
+}
+
 // configRecheck returns how often one of so many members makes sure of the configuration.
 func configRecheck(members int) time.Duration {
 	return min(max(time.Duration(members)*configRecheckShare, member.DefaultRecheck), configRecheckMost)
@@ -55,19 +72,31 @@
 	logger  *slog.Logger
 	current atomic.Pointer[workload.Catalog]
 	quotas  atomic.Pointer[quota.Policy]
+	// wait returns how long a watch of it may wait.
+	wait func() time.Duration
 
 	mu        sync.Mutex
 	confirmed clocks.Interval // since the version in force was last known to be the newest
 	late      bool            // whether the log says that it is not known
 }
 
-// startConfigs follows the configuration until ctx ends. size tells how many members there are.
-func startConfigs(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[*workload.Catalog], size func() int, logger *slog.Logger) *configs {
+// startConfigs follows the configuration until ctx ends. size tells how many members there are,
+// within is the time within which a change must be in force.
+func startConfigs(ctx context.Context, kv pointport.KV, clock pointport.Clock, source Source[*workload.Catalog], size func() int, within time.Duration, logger *slog.Logger) *configs {
 	c := &configs{source: source, clock: clock, logger: logger, confirmed: clocks.NewInterval(clock)}
-	go member.FollowKey(ctx, kv, clock, source.Prefix, c.take, c.heard, member.Recheck(func() time.Duration { return configRecheck(size()) }))
+	c.wait = func() time.Duration { return configWait(size(), within) }
+	recheck := func() time.Duration { return configRecheck(size()) }
+	go member.FollowKey(ctx, kv, clock, source.Prefix, c.take, c.heard, member.Recheck(recheck), member.KeyWait(c.wait))
 	return c
 }
 
+// known reports whether the version in force was known to be the newest so lately that another
+// one cannot have come into force since.
+func (c *configs) known() bool { return c.age() < c.lateAfter() }
+
+// lateAfter returns after which time without an answer the newest version is not known.
+func (c *configs) lateAfter() time.Duration { return c.wait() + configAnswer }
+
 // heard takes in whether the newest version is known, and logs once when that is lost
 // and once when it is regained.
 func (c *configs) heard(err error) {
@@ -77,7 +106,7 @@
 	switch {
 	case err == nil && c.late:
 		event.ConfigConfirmed.Log(c.logger, slog.Int64("version", c.version()), slog.Duration("after", age))
-	case err != nil && !c.late && age >= configLate:
+	case err != nil && !c.late && age >= c.lateAfter():
 		event.ConfigUnconfirmed.Log(c.logger, slog.Int64("version", c.version()), slog.Duration("age", age), slog.Any("error", err))
 	case err != nil:
 		return
@@ -150,7 +179,7 @@
 // caps returns what the configuration in force says of customers' caps, and whether it was
 // known to be the newest so lately that a lowered cap cannot have come into force since.
 func (c *configs) caps() (policy *quota.Policy, fresh bool) {
-	return c.quotas.Load(), c.age() < configLate
+	return c.quotas.Load(), c.known()
 }
 
 // workPools returns the pools that need an owner.
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,8 @@
 	Grace time.Duration
 	// HolderTime must lie between the orders of two holders of an instance.
 	HolderTime time.Duration
+	// ConfigTime is within which time a change of the configuration must be in force.
+	ConfigTime time.Duration
 	// EvacuationTime is within which time nothing more may be started in an availability
 	// zone that operators ask to be left empty.
 	EvacuationTime time.Duration
@@ -158,7 +160,7 @@
 	n.session = member.StartSession(ctx, s.KV, s.Clock, p.LeaseTTL, logger)
 	self := member.Member{Name: p.Name, Peer: cmp.Or(p.PeerName, p.Addresses.Peers), Zone: p.Zone, Strength: p.Strength}
 	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
-	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, n.roster.Size, logger)
+	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, n.roster.Size, cmp.Or(p.ConfigTime, DefaultConfigTime), logger)
 	n.fleet = newFleet(ctx, s.KV, s.Clock, s.Registrations, logger)
 	n.emptied = newEvacuations(ctx, s.KV, s.Clock, s.Evacuations, cmp.Or(p.EvacuationTime, DefaultEvacuationTime), logger)
 	n.keeper = member.StartKeeper(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
@@ -192,7 +194,7 @@
 
 // KeysNewest reports whether the newest keys are known: whether the configuration was known
 // to be the newest so lately that another one is not in force yet.
-func (n *Node) KeysNewest() bool { return n.configs.age() < configLate }
+func (n *Node) KeysNewest() bool { return n.configs.known() }
 
 // startSteward lets the node be the one that moves and maintains instances.
 func (n *Node) startSteward(ctx context.Context, pools steward.Pools) {
--- a/node/rest_test.go
+++ b/node/rest_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/workload"
 )
 
 // This file tests how many calls to the store nodes make that have nothing to do.
@@ -78,6 +79,62 @@
 	})
 }
 
+// What a member that owns nothing asks of the store at rest falls as there are more members,
+// but for the renewals of its lease: with 300 it was 1.6 calls a second for each, whatever
+// their number, as watches of the configuration ended once a second. All watches of all
+// members together end some two hundred times a second.
+func TestCallsOfAMemberFallAsMembersGrow(t *testing.T) {
+	t.Parallel()
+	const seconds = 30
+	cases := []struct {
+		members int
+		most    float64 // watches and readings a second for each member
+	}{{30, 2.5}, {100, 2.3}, {300, 0.8}}
+	for _, k := range cases {
+		bubble(t, k.members, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			calls := count(c)
+			time.Sleep(seconds * time.Second)
+			calls.mu.Lock()
+			each := float64(calls.calls["watch"]+calls.calls["range"]+calls.calls["get"]) / seconds / float64(k.members)
+			calls.mu.Unlock()
+			t.Logf("%d members: %.2f watches and readings a second for each", k.members, each)
+			if each > k.most {
+				t.Errorf("%d members: %.2f watches and readings a second for each, want %v at most", k.members, each, k.most)
+			}
+		}, withConfigTime(5*time.Second), withoutSteward())
+	}
+}
+
+// A change of the configuration is in force in time among many members, also at those whose
+// watches of it hear nothing any more, as on a connection that has gone silent.
+func TestChangeIsInForceInTimeAmongMany(t *testing.T) {
+	const members, within = 400, 5 * time.Second
+	bubble(t, members, func(c *cluster) {
+		time.Sleep(20 * time.Second)
+		asked := ""
+		c.mu.Lock()
+		c.onStore = func(_, op, key string) { asked = op + " " + key }
+		c.mu.Unlock()
+		silenced := make(map[string]int)
+		c.setStoreFate(func(node, _ string) memory.Fault {
+			if asked != "watch "+configKey || silenced[node] > 0 {
+				return memory.FaultNone
+			}
+			silenced[node]++
+			return memory.FaultSilentWatch
+		})
+		c.configure(&workload.Catalog{Version: 2})
+		time.Sleep(within)
+		for name, n := range c.nodes {
+			if got := n.node.ConfigVersion(); got != 2 {
+				t.Errorf("%s has version %d after %v", name, got, within)
+			}
+		}
+		c.setStoreFate(storeWorks)
+	}, withConfigTime(within), withoutSteward())
+}
+
 // A pool whose owner dies is taken by another member within the time of a short lease and
 // what those that rank first are left, however many members own nothing.
 func TestPoolOfDeadOwnerIsTakenSoonAmongMany(t *testing.T) {
