Instances that the steward has moved do not count as silent and crashed

What callers saw: jobs that waited at the beginning of a peak although instances had come for them. The order of events: an instance is moved, its registration stays until heartbeats are missed, its owner looks at it in vain; the list of machines shows it over at a time when nobody asks any more that it be closed, so it counts as crashed; when it has come and gone twice, it is avoided for 2 to 16 s. Where instances keep their identity the list shows nothing for 15 s, and the silent ones among those registered make the owner doubt itself, which lets it start four tasks at a time.

The steward tells the owner which incarnations its orders have ended as soon as the platform has answered: one whose machine has moved is over, of one that was maintained the end is no crash. The testbed's registrations can linger.

--- a/capacity/order.go
+++ b/capacity/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sort"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -30,6 +31,8 @@
 	// the life that the pool's owner told of, empty if it told of none.
 	Replaces pointport.Addressee
 	Ends     pointport.IncarnationID
+	// From is the pool in which the machine was then.
+	From string
 }
 
 // shownBy reports whether the list shows that the order is done, or the pool's owner tells of
@@ -76,7 +79,7 @@
 // order gives an order about a machine, which stays closed meanwhile.
 func (p *Planner) order(now time.Time, d *Decision, m *machine, o Order) {
 	d.Closures[m.pool] = append(d.Closures[m.pool], schedule.Closure{Instance: m.id})
-	o.Replaces, o.Ends = m.life, m.load.Incarnation
+	o.Replaces, o.Ends, o.From = m.life, m.load.Incarnation, m.pool
 	m.order, m.ordered, m.answered, m.unheard = &o, now, false, false
 	m.emptying, m.claimed = time.Time{}, ""
 	d.Orders = append(d.Orders, o)
@@ -118,11 +121,41 @@
 			w.ordered[o.Machine] = now
 		}
 		m.idle, m.load = time.Time{}, schedule.InstanceLoad{}
+		p.noteEnded(now, o)
 	case settled && !(m.unheard && busy(err)):
 		m.order = nil
 	}
 }
 
+// An endedOrder is an order that was carried out and when it was answered.
+type endedOrder struct {
+	Order
+	at time.Time
+}
+
+// noteEnded notes which incarnation an order has ended.
+func (p *Planner) noteEnded(now time.Time, o Order) {
+	if o.Ends != "" {
+		p.ended[o.Ends] = endedOrder{o, now}
+	}
+}
+
+// OrderedEnds returns the incarnations of a pool that orders have ended and that the pool's
+// owner still tells of.
+func (p *Planner) OrderedEnds(now time.Time, pool string) []schedule.OrderedEnd {
+	var out []schedule.OrderedEnd
+	for id, o := range p.ended {
+		switch {
+		case now.Sub(o.at) > unshownMost:
+			delete(p.ended, id)
+		case o.From == pool && p.loads[pool][o.Machine].Incarnation == id:
+			out = append(out, schedule.OrderedEnd{Incarnation: id, Sure: o.Pool != ""})
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Incarnation < out[k].Incarnation })
+	return out
+}
+
 // busy reports whether an order was refused because its machine was not up, or leaving.
 func busy(err error) bool {
 	var refused *pointport.MachineRefusedError
--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -61,6 +61,8 @@
 	began  time.Time // when the first survey came
 	// unserved is since when serving tasks of a pool have found no room.
 	unserved map[string]time.Time
+	// ended holds the incarnations that orders have ended lately.
+	ended map[pointport.IncarnationID]endedOrder
 }
 
 // NewPlanner returns a planner that knows nothing yet.
@@ -69,6 +71,7 @@
 		settings: s, machines: make(map[pointport.InstanceID]*machine),
 		waves: make(map[int64]*waveState), surveys: make(map[string]schedule.Survey), surveyed: make(map[string]bool),
 		unserved: make(map[string]time.Time), loads: make(map[string]map[pointport.InstanceID]schedule.InstanceLoad),
+		ended: make(map[pointport.IncarnationID]endedOrder),
 	}
 }
 
--- a/capacity/retire_test.go
+++ b/capacity/retire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
 )
 
@@ -51,3 +52,44 @@
 		t.Errorf("pool a has %d instances when its peak comes", got)
 	}
 }
+
+// A pool's owner is told which of its incarnations were ended by moves, as long as it still
+// tells of them, and by maintenance that they may have been.
+func TestOwnersAreToldOfOrderedEnds(t *testing.T) {
+	f := newFleet(2, "a", "b", spareName)
+	p := capacity.NewPlanner(settings)
+	f.need["a"] = 2500
+	for range 10 {
+		f.step(p, 100*time.Millisecond, nil)
+	}
+	f.need["a"] = 100
+	told := make(map[pointport.IncarnationID]bool)
+	for range 60 {
+		before := make(map[pointport.InstanceID]pointport.Addressee)
+		for _, m := range f.machines {
+			before[m.ID] = m.Addressee
+		}
+		d := f.step(p, 100*time.Millisecond, nil)
+		for _, o := range d.Orders {
+			if o.From != "a" || o.Pool == "" {
+				continue
+			}
+			id := pointport.IncarnationID(before[o.Machine])
+			for _, end := range p.OrderedEnds(f.now, "a") {
+				if end.Incarnation == id && end.Sure {
+					told[id] = true
+				}
+			}
+			if !told[id] {
+				t.Errorf("the owner of pool a is not told that %s was moved", id)
+			}
+		}
+	}
+	if len(told) == 0 {
+		t.Fatal("no instance was moved away")
+	}
+	p.SetSurvey(f.now, "a", f.survey("a"))
+	if ends := p.OrderedEnds(f.now, "a"); len(ends) != 0 {
+		t.Errorf("the owner is told of %+v, which it does not tell of any more", ends)
+	}
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -152,6 +152,11 @@
 	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithReturns(percent)) }
 }
 
+// withLinger has the registration of an instance stay for a while that ends without having said so.
+func withLinger(d time.Duration) clusterOption {
+	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithLinger(d)) }
+}
+
 func withoutGuards() clusterOption {
 	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithGuards(false)) }
 }
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -39,7 +39,7 @@
 	switch {
 	case w.inc.Draining(), w.answeredUnlisted:
 		return partingLeft
-	case len(w.runs) == 0 && w.closed(now):
+	case len(w.runs) == 0 && (w.closed(now) || w.orderedAway):
 		return partingOrdered
 	}
 	return partingCrashed
@@ -47,15 +47,35 @@
 
 // EndIncarnation takes in proof that an incarnation is over.
 func (b *Book) EndIncarnation(now time.Time, id pointport.IncarnationID) {
-	w := b.workers[id]
-	if w == nil || w.ended {
-		return
+	if w := b.workers[id]; w != nil && !w.ended {
+		b.endKnown(w, now, "the platform says so")
 	}
+}
+
+// endKnown takes in that an incarnation is surely over, unless what was ordered to it may be on
+// a life that nobody has heard of yet.
+func (b *Book) endKnown(w *Worker, now time.Time, why string) {
 	later := b.presentLife(w)
 	if later == nil && w.anyUncertain() {
-		return // what was ordered to it may be on a life that nobody has heard of yet
+		return
+	}
+	b.workerEnded(w, now, why, later)
+}
+
+// orderedAway takes in that an order about the machine of an incarnation was carried out, so
+// that its end is no crash. Its registration goes only after some heartbeats have been missed,
+// and the list of machines is behind as well: until one of them tells, it would be looked at in
+// vain and count as silent, and then as crashed, so that the instance is avoided when it comes
+// back.
+func (b *Book) orderedAway(now time.Time, end OrderedEnd) {
+	w := b.workers[end.Incarnation]
+	if w == nil || w.ended {
+		return
+	}
+	w.orderedAway = true
+	if end.Sure && len(w.runs) == 0 {
+		b.endKnown(w, now, "its machine was moved")
 	}
-	b.workerEnded(w, now, "the platform says so", later)
 }
 
 // shownOver takes in that whoever reads the list of machines saw an incarnation silent and
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -27,6 +27,17 @@
 	Soon []pointport.InstanceID `json:"soon,omitempty"`
 	// Over lists incarnations that are known to be over.
 	Over []pointport.IncarnationID `json:"over,omitempty"`
+	// Ordered lists incarnations whose machines were ordered away, and the orders answered.
+	Ordered []OrderedEnd `json:"ordered,omitempty"`
+}
+
+// An OrderedEnd is the end of an incarnation by an order about its machine that was carried
+// out. Its fields are exported because a codec reads and writes them.
+type OrderedEnd struct {
+	Incarnation pointport.IncarnationID `json:"incarnation"`
+	// Sure says that it is over by now: its machine was moved to another pool. Maintenance may
+	// have been done before and the incarnation be the one that came after it.
+	Sure bool `json:"sure,omitempty"`
 }
 
 // A Survey says how a pool stands. Its fields are exported because a codec reads
@@ -95,6 +106,9 @@
 
 // Survey takes in a request and returns how the pool stands.
 func (b *Book) Survey(now time.Time, req SurveyRequest) Survey {
+	for _, end := range req.Ordered {
+		b.orderedAway(now, end)
+	}
 	for _, id := range req.Over {
 		b.shownOver(now, id)
 	}
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -50,6 +50,9 @@
 	// returning is in how many percent of its returns a machine comes back under the
 	// addressee that it had.
 	returning int
+	// lingers is for how long the registration of a life stays after its machine was ordered
+	// away or has crashed.
+	lingers time.Duration
 	// address returns where a machine's incarnations take orders.
 	address func(pointport.InstanceID, pointport.IncarnationID) string
 
@@ -101,6 +104,10 @@
 // ends begin anew. With none, no two lives have one addressee, and that alone tells them apart.
 func WithReturns(percent int) Option { return func(f *Fleet) { f.returning = percent } }
 
+// WithLinger sets for how long the registration of a life stays that ends without having said
+// so, as one that goes only once heartbeats were missed.
+func WithLinger(d time.Duration) Option { return func(f *Fleet) { f.lingers = d } }
+
 // WithRegister sets a function that is told of each registration, and of its end
 // with false.
 func WithRegister(register func(pointport.Incarnation, bool)) Option {
@@ -222,11 +229,30 @@
 	for _, r := range m.life.runs {
 		f.breakGang(r)
 	}
-	f.register(f.registration(m), false)
+	f.unregister(m)
 	m.life = nil
 	f.wake()
 }
 
+// unregister ends the registration of a machine's present life, once heartbeats were missed if
+// it has not announced its end, unless a later life has taken over the addressee by then. The
+// lock is held.
+func (f *Fleet) unregister(m *Machine) {
+	if f.lingers == 0 || !m.draining.IsZero() {
+		f.register(f.registration(m), false)
+		return
+	}
+	life, gone, wake := m.life, f.registration(m), f.clock.After(f.lingers)
+	go func() {
+		<-wake
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.present[life.id.Addressee()] == life {
+			f.register(gone, false)
+		}
+	}()
+}
+
 // Crash ends a machine's life; a new one begins after a while, or never if down
 // is zero.
 func (f *Fleet) Crash(id pointport.InstanceID, down time.Duration) {
