--- a/incarnation.go
+++ b/incarnation.go
@@ -15,6 +15,7 @@
 	zone     ZoneID
 	draining bool
 	left     time.Duration
+	cold     time.Duration
 	capacity Shape
 	labels   []string
 	rack     string
@@ -53,6 +54,9 @@
 	return func(i *Incarnation) { i.draining, i.left = true, left }
 }
 
+// WithCold says for how long it is slow yet.
+func WithCold(d time.Duration) IncarnationOption { return func(i *Incarnation) { i.cold = d } }
+
 // ID returns the identity of this life.
 func (i Incarnation) ID() IncarnationID { return i.id }
 
@@ -75,6 +79,10 @@
 // registration.
 func (i Incarnation) Left() time.Duration { return i.left }
 
+// Cold returns for how long the incarnation is slow yet, as after its start, counted from its
+// registration.
+func (i Incarnation) Cold() time.Duration { return i.cold }
+
 // Capacity returns its size.
 func (i Incarnation) Capacity() Shape { return i.capacity }
 
--- a/schedule/book.go
+++ b/schedule/book.go
@@ -458,6 +458,9 @@
 	}
 	b.resize(w, inc.Capacity())
 	leaving := inc.Draining() && !w.inc.Draining()
+	if inc.Cold() != w.inc.Cold() { // it is told anew with each change of the registration
+		w.coldUntil = now.Add(inc.Cold())
+	}
 	w.inc = inc
 	if leaving {
 		b.leaveWorker(now, w)
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -266,3 +266,30 @@
 		}
 	}
 }
+
+// The load that it plays: an availability zone comes back cold, with as many instances as the
+// other one has. What callers get: their tasks run on warm instances while these have room, on
+// cold ones rather than wait, and on all alike once they are warm.
+func TestZoneThatComesBackColdGetsWorkGradually(t *testing.T) {
+	b := newBook()
+	cold := []pointport.IncarnationOption{pointport.WithZone("north"), pointport.WithCold(2 * time.Second)}
+	hear(b, start, incarnation(0, cold...), incarnation(2, cold...), south(1), south(3))
+	few, many := step(8, 1000, nil), step(12, 1000, nil)
+	b.Add(start, job("few", policy, few))
+	if got := startsIn(orders(b, start)); got["north"] != 0 || got["south"] != 8 {
+		t.Errorf("starts %v, want all on the warm instances, which have room", got)
+	}
+	b.Add(start, job("many", policy, many))
+	if got := startsIn(orders(b, start)); got["north"] != 8 {
+		t.Errorf("starts %v, want as many on cold instances as they hold", got)
+	}
+	warm := newBook()
+	hear(warm, start, incarnation(0, cold...), incarnation(2, cold...), south(1), south(3))
+	later := start.Add(3 * time.Second)
+	// The registration is read again as it was written, which makes it no colder.
+	warm.SetIncarnations(later, []pointport.Incarnation{incarnation(0, cold...), incarnation(2, cold...), south(1), south(3)})
+	warm.Add(later, job("few", policy, few))
+	if got := startsIn(orders(warm, later)); got["north"] == 0 {
+		t.Errorf("starts %v once the instances are warm", got)
+	}
+}
--- a/schedule/gang.go
+++ b/schedule/gang.go
@@ -149,7 +149,7 @@
 			if !p.holds(w, t, room, taken[w]) {
 				continue
 			}
-			score := p.book.score(t, w)
+			score := p.book.score(p.now, t, w)
 			if best == nil || score > bestScore {
 				best, bestScore = w, score
 			}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -222,7 +222,7 @@
 		if !w.free.Fits(room) || !b.permits(t, w, now) || b.crowded(t, w) {
 			continue
 		}
-		score := b.score(t, w)
+		score := b.score(now, t, w)
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -276,12 +276,19 @@
 	apartScore = 3.0
 	// soonScore is what it is worth that a serving task need not move again.
 	soonScore = 2.0
+	// coldScore is what it is worth that an instance is warm: more than any packing, so that an
+	// availability zone that comes back cold gets what the others have no room for, and more as
+	// it warms up.
+	coldScore = 1.2
 )
 
 // score says how well a worker suits a task; more is better. Work is packed, so
 // that instances fall empty and can go where they are needed more.
-func (b *Book) score(t waiting, w *Worker) float64 {
+func (b *Book) score(now time.Time, t waiting, w *Worker) float64 {
 	score := -freeShare(w.free, w.inc.Capacity())
+	if now.Before(w.coldUntil) {
+		score -= coldScore
+	}
 	if t.step.DataRack != "" && w.inc.Rack() == t.step.DataRack {
 		score += dataRackScore
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -67,6 +67,8 @@
 	// to be moved or maintained; evacuating says that serving tasks move off.
 	closedUntil time.Time
 	evacuating  bool
+	// coldUntil is until when it is slow from its start.
+	coldUntil time.Time
 	// orderedAway says that an order about its machine was carried out.
 	orderedAway bool
 	// suspected and quarantined count such runs.
