--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// hideEvacuations has the store refuse to tell which availability zones are evacuated, and
+// nothing else, until its fate is set anew.
+func (c *cluster) hideEvacuations() {
+	asked := ""
+	c.mu.Lock()
+	c.onStore = func(_, _, key string) { asked = key }
+	c.mu.Unlock()
+	c.setStoreFate(func(string, string) memory.Fault {
+		if strings.HasPrefix(asked, evacuationPrefix) {
+			return memory.FaultBefore
+		}
+		return memory.FaultNone
+	})
+}
+
 // Nothing starts in an evacuated availability zone, jobs go on in the other one, and the zone
 // is used again once it is open. Its pools' owners stay, are killed or stop as planned
 // meanwhile: a new owner starts nothing before it knows what is asked.
@@ -143,16 +158,7 @@
 		l.run(2 * time.Second)
 		c.evacuate("north")
 		l.run(2 * time.Second)
-		asked := ""
-		c.mu.Lock()
-		c.onStore = func(_, _, key string) { asked = key }
-		c.mu.Unlock()
-		c.setStoreFate(func(string, string) memory.Fault {
-			if strings.HasPrefix(asked, evacuationPrefix) {
-				return memory.FaultBefore
-			}
-			return memory.FaultNone
-		})
+		c.hideEvacuations()
 		c.open("north")
 		time.Sleep(4 * time.Second)
 		before := c.fleet.Starts()
@@ -177,16 +183,7 @@
 	bubble(t, 2, func(c *cluster) {
 		c.evacuate("north")
 		time.Sleep(6 * time.Second)
-		asked := ""
-		c.mu.Lock()
-		c.onStore = func(_, _, key string) { asked = key }
-		c.mu.Unlock()
-		c.setStoreFate(func(string, string) memory.Fault {
-			if strings.HasPrefix(asked, evacuationPrefix) {
-				return memory.FaultBefore
-			}
-			return memory.FaultNone
-		})
+		c.hideEvacuations()
 		for n := range 2 {
 			c.kill(fmt.Sprintf("n%d", n))
 			c.start(fmt.Sprintf("n%d", n))
