A log that says why nothing is known of evacuations

The error of a reading was dropped, and a node whose first readings all failed said nothing at all: it started nothing, and its log did not say why. Now the line 'evacuations unknown' comes after the same time in either case and names what the last reading came to. What is decided is unchanged. Both tests fail on the code before.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,7 +88,7 @@
 	WaveUnreadable       = define(424, "wave unreadable", slog.LevelError, "A wave that an operator asks for cannot be used; nothing is ordered for it. error names the field and what it holds.")
 	ZoneEvacuated        = define(429, "zone evacuated", slog.LevelInfo, "The operators ask that nothing be started on the instances of an availability zone; from now on this node starts nothing there. revision is the request's, age how long ago it was read.")
 	ZoneOpened           = define(430, "zone open", slog.LevelInfo, "The operators have taken back that an availability zone be left empty; this node may start tasks there again. revision is that of the request.")
-	EvacuationsUnknown   = define(431, "evacuations unknown", slog.LevelWarn, "For the time named in age, this node could not read which availability zones are evacuated; until it can, it starts nothing anywhere.", times("age"))
+	EvacuationsUnknown   = define(431, "evacuations unknown", slog.LevelWarn, "For the time named in age, this node has not read which availability zones are evacuated; until it has, it starts nothing anywhere. error is what the last reading came to, none if nobody had asked since.", times("age"))
 	EvacuationsKnown     = define(432, "evacuations known", slog.LevelInfo, "This node knows again which availability zones are evacuated.", times("after"))
 	EvacuationUnreadable = define(433, "evacuation unreadable", slog.LevelError, "A request that an availability zone be left empty names none; it is passed over. error names the key.")
 	MachineUnreadable    = define(426, "machine line unreadable", slog.LevelError, "A line of the platform's list of machines cannot be used; nothing is ordered about a machine by it. error names the field.")
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -53,8 +53,9 @@
 	mu      sync.Mutex
 	entries *entries[evacuation.Request]
 	zones   evacuation.Zones
-	read    clocks.Interval // since what is known was asked for
+	read    clocks.Interval // since what is known was asked for, or the first question
 	asked   time.Time       // when it was last wanted
+	failure error           // of the last reading, nil if it was answered
 	unsure  bool            // whether the log says that nothing is known
 }
 
@@ -65,7 +66,10 @@
 		source: source, kv: kv, clock: clock, within: within, logger: logger, wanted: make(chan struct{}, 1),
 		entries: newEntries(source.Decode, event.EvacuationUnreadable, logger),
 	}
-	e.start = func() { go e.run(ctx) }
+	e.start = func() {
+		e.read = clocks.NewInterval(clock)
+		go e.run(ctx)
+	}
 	return e
 }
 
@@ -82,9 +86,6 @@
 	case e.wanted <- struct{}{}:
 	default:
 	}
-	if !e.zones.IsKnown() {
-		return evacuation.Zones{}
-	}
 	if age := e.read.Age(); age > e.share(evacuationKnownShare) {
 		e.lost(age)
 		return evacuation.Zones{}
@@ -141,6 +142,7 @@
 	all, _, err := member.ReadAll(ctx, e.kv, e.source.Prefix)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.failure = err
 	if err != nil {
 		return err
 	}
@@ -177,5 +179,5 @@
 		return
 	}
 	e.unsure = true
-	event.EvacuationsUnknown.Log(e.logger, slog.Duration("age", age), slog.Int("evacuated", len(e.zones.Requests())))
+	event.EvacuationsUnknown.Log(e.logger, slog.Duration("age", age), slog.Int("evacuated", len(e.zones.Requests())), slog.Any("error", e.failure))
 }
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -166,6 +166,7 @@
 		if got := c.fleet.Starts() - before; got != 0 {
 			t.Errorf("%d runs have begun while it is not known which availability zones are evacuated", got)
 		}
+		c.checkSaysWhyUnknown(t)
 		c.setStoreFate(storeWorks)
 		inNorth := c.fleet.StartsIn("north")
 		l.tasks = 8
@@ -194,11 +195,27 @@
 		if got := c.fleet.Starts(); got != 0 {
 			t.Errorf("%d runs have begun", got)
 		}
+		c.checkSaysWhyUnknown(t)
 		c.setStoreFate(storeWorks)
 		l.finish(10 * time.Second)
 	}, withWork(shortWork))
 }
 
+// checkSaysWhyUnknown reports it if the log does not say that nothing is started because the
+// store does not tell which availability zones are evacuated, and what it answers.
+func (c *cluster) checkSaysWhyUnknown(t *testing.T) {
+	t.Helper()
+	lines := c.logs.about("evacuations unknown")
+	if lines == "" {
+		t.Error("the log does not say that it is not known which availability zones are evacuated")
+	}
+	for line := range strings.Lines(lines) {
+		if !strings.Contains(line, "error=") || strings.Contains(line, "error=<nil>") {
+			t.Errorf("the log does not say why: %s", line)
+		}
+	}
+}
+
 // drawEvacuations adds evacuations to the troubles of a script.
 func drawEvacuations(t *rapid.T, s *script) {
 	for range rapid.IntRange(1, 3).Draw(t, "evacuations") {
