--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +20,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := memory.New(clock.System{})
-		reads := 0
+		var reads atomic.Int64
 		kv := store.KV(memory.WithFaults(func(op, _ string) memory.Fault {
 			if op == "range" {
-				reads++
+				reads.Add(1)
 			}
 			return memory.FaultNone
 		}), memory.WithLatency(time.Millisecond))
@@ -31,24 +32,24 @@
 		}}
 		e := newEvacuations(ctx, kv, clock.System{}, source, DefaultEvacuationTime, slog.New(slog.DiscardHandler))
 		time.Sleep(10 * time.Second)
-		if reads != 0 {
-			t.Errorf("%d readings before anybody has asked", reads)
+		if got := reads.Load(); got != 0 {
+			t.Errorf("%d readings before anybody has asked", got)
 		}
 		for range 100 {
 			e.Zones()
 			time.Sleep(100 * time.Millisecond)
 		}
-		if reads < 9 || reads > 11 {
-			t.Errorf("%d readings in 10 s, want one a second", reads)
+		if got := reads.Load(); got < 9 || got > 11 {
+			t.Errorf("%d readings in 10 s, want one a second", got)
 		}
 		time.Sleep(evacuationIdle + time.Second)
-		before := reads
+		before := reads.Load()
 		if _, err := store.KV().Commit(ctx, pointport.Txn{Put: []pointport.Put{{Key: "evacuate/north"}}}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Minute)
-		if reads != before {
-			t.Errorf("%d readings although nobody asks", reads-before)
+		if got := reads.Load() - before; got != 0 {
+			t.Errorf("%d readings although nobody asks", got)
 		}
 		if got := e.Zones().Standing("north"); got != evacuation.Unknown {
 			t.Errorf("after a minute without a reading the zone is %v", got)
