--- a/member/ownership.go
+++ b/member/ownership.go
@@ -23,6 +23,8 @@
 	// Revision is the owner key's revision, on which writes depend.
 	Revision pointport.Revision
 	proof    *proof
+	// predecessorUnrecorded is the result of PredecessorUnrecorded.
+	predecessorUnrecorded bool
 }
 
 // proof records until when an ownership cannot have been lost. The owner key may be deleted
@@ -33,11 +35,32 @@
 	ttl   time.Duration // how long a call that read or wrote the key proves it
 	mu    sync.Mutex
 	until time.Time
+	// unrecorded is the argument of the last call of NoteUnrecorded.
+	unrecorded bool
 }
 
 // Proven reports whether the ownership cannot have been lost yet.
 func (o Ownership) Proven() bool { return o.remaining() > 0 }
 
+// ProvenByStore reports whether the store has proven the ownership so recently that it cannot have
+// been lost yet.
+func (o Ownership) ProvenByStore() bool { return o.remaining() > 0 }
+
+// PeerLeased reports whether the ownership is proven, but only by peer leases.
+func (o Ownership) PeerLeased() bool { return o.Proven() && !o.ProvenByStore() }
+
+// PredecessorUnrecorded reports whether the previous owner may have started tasks whose start is not
+// recorded in the store.
+func (o Ownership) PredecessorUnrecorded() bool { return o.predecessorUnrecorded }
+
+// NoteUnrecorded records whether this owner has started tasks whose start is not recorded in the
+// store. It must be called with true before the first such start is sent.
+func (o Ownership) NoteUnrecorded(unrecorded bool) {
+	o.proof.mu.Lock()
+	defer o.proof.mu.Unlock()
+	o.proof.unrecorded = unrecorded
+}
+
 // prove notes that a call made at the steady time from found the owner key unchanged.
 func (o Ownership) prove(from time.Time) {
 	o.proof.mu.Lock()
--- /dev/null
+++ b/peerlease/document.go
@@ -0,0 +1,83 @@
+package peerlease
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/pointport/pointport"
+)
+
+// This file defines the document that names a pool's owner and its standbys.
+
+const (
+	// Duration is for how long a standby grants a lease.
+	Duration = time.Second
+	// ownerDuration is for how long the owner counts a lease. It is shorter than Duration because
+	// the clocks of two machines may run at different rates.
+	ownerDuration = 900 * time.Millisecond
+	// boundMargin is added to the bound after which a pool is free although nobody answers.
+	boundMargin = 500 * time.Millisecond
+)
+
+// A Process identifies one process of a member. Its fields are exported because it is encoded as
+// JSON.
+type Process struct {
+	Name string `json:"name"`    // of the member
+	Peer string `json:"peer"`    // host:port at which its peers reach it
+	ID   string `json:"process"` // differs for each process
+}
+
+// A Document names the owner of a pool and its standbys. It is stored in one transaction with the
+// key that names the owner. Its fields are exported because it is encoded as JSON; the owner's are
+// on the top level, so that earlier versions read it as a member.
+type Document struct {
+	Process
+	// Fence is the owner's fencing token. It is zero in the transaction that creates the token,
+	// which is the revision of that transaction.
+	Fence    pointport.Fence `json:"fence,omitempty"`
+	Standbys []Process       `json:"standbys"`
+	// Bound is how long after its owner key is gone the owner may hold peer leases, at most.
+	Bound time.Duration `json:"bound"`
+}
+
+// NewDocument returns a document of an owner that uses peer leases for at most limit after its
+// proof by the store has ended, and whose proof and lease in the store last for ttl each.
+func NewDocument(owner Process, fence pointport.Fence, standbys []Process, limit, ttl time.Duration) Document {
+	return Document{Process: owner, Fence: fence, Standbys: standbys, Bound: limit + 2*ttl + boundMargin}
+}
+
+// Encode returns the stored form of the document.
+func (d Document) Encode() ([]byte, error) { return json.Marshal(d) }
+
+// Decode returns the document in an entry of the store.
+func Decode(e pointport.Entry) (Document, error) {
+	var d Document
+	if err := json.Unmarshal(e.Value(), &d); err != nil {
+		return Document{}, err
+	}
+	switch {
+	case d.ID == "":
+		return Document{}, errors.New("process is missing")
+	case d.Bound <= 0:
+		return Document{}, errors.New("bound must be above 0")
+	}
+	if d.Fence == 0 {
+		d.Fence = pointport.Fence(e.Revision())
+	}
+	return d, nil
+}
+
+// sameMachine reports whether two processes have the same member name and address, so that at most
+// one of them is running.
+func (p Process) sameMachine(q Process) bool { return p.Name == q.Name && p.Peer == q.Peer }
+
+// standby returns the standby on the machine of a process.
+func (d *Document) standby(self Process) (Process, bool) {
+	n := slices.IndexFunc(d.Standbys, self.sameMachine)
+	if n < 0 {
+		return Process{}, false
+	}
+	return d.Standbys[n], true
+}
