Jobs: the time of the first submission is stored and orders jobs

A customer that was refused while the store was unavailable submits its job again, and the job's objective counted from the acceptance, so a job that can hardly be of use any more was placed before one that has just arrived.

The accepted form has the optional field firstSubmitted, bounded to the 5 s before the acceptance. Ranks, refusals of backlogs and the events "job begun" and "job ended" count from it. Nothing sets it yet; without it a job counts from its acceptance and its stored form is as before.

--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -163,7 +163,7 @@
 		delete(s.waitingJobs, e)
 		delete(s.recurring, e)
 		event.JobEnded.Log(s.logger, slog.String("job", e.job.ID()), slog.String("queue", e.job.Queue()),
-			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.Submitted())),
+			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.FirstSubmitted())),
 			slog.Duration("objective", s.objective(e)))
 	}
 	for _, r := range batch.starts {
--- a/schedule/excess.go
+++ b/schedule/excess.go
@@ -32,7 +32,7 @@
 // backlog sums up the waiting jobs of a customer that have not begun.
 type backlog struct {
 	work  time.Duration // sum over the jobs of the share of the pool times its duration
-	slack time.Duration // sum of how long each job can wait from its submission on
+	slack time.Duration // sum of how long each job can wait from its first submission on
 	jobs  int
 }
 
@@ -87,7 +87,7 @@
 		}
 		sum := out[e.account]
 		sum.work += s.workOf(e, capacity)
-		sum.slack += e.rank.latest.Sub(e.job.Submitted())
+		sum.slack += e.rank.latest.Sub(e.job.FirstSubmitted())
 		sum.jobs++
 		out[e.account] = sum
 	}
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -142,7 +142,7 @@
 	job := e.job
 	out := rank{priority: job.Policy().Priority, class: classFresh}
 	if e.ready[0].step.Service {
-		out.class, out.latest = classServing, job.Submitted()
+		out.class, out.latest = classServing, job.FirstSubmitted()
 		return out
 	}
 	if job.Begun() {
@@ -161,7 +161,7 @@
 	for _, t := range e.ready {
 		left = max(left, paths[t.ref.Step])
 	}
-	from := job.Submitted()
+	from := job.FirstSubmitted()
 	if due := job.Spec().Due(first.Occurrence); !due.IsZero() {
 		from = due
 	}
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -75,7 +75,7 @@
 	if !r.entry.begun && !r.inherited {
 		r.entry.begun = true
 		event.JobBegun.Log(s.logger, slog.String("job", r.entry.job.ID()), slog.String("task", r.name), slog.Int("run", r.number),
-			slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.entry.job.Submitted())))
+			slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.entry.job.FirstSubmitted())))
 	}
 }
 
--- a/workload/codec.go
+++ b/workload/codec.go
@@ -21,11 +21,18 @@
 	Policy    Policy    `json:"policy"`
 	Spec      *Spec     `json:"spec"`
 	Submitted time.Time `json:"submitted"`
+	// FirstSubmitted is when the customer first submitted the job, if that was before Submitted.
+	// Earlier versions of the program neither write nor read it.
+	FirstSubmitted time.Time `json:"firstSubmitted,omitzero"`
 }
 
 // EncodeAccepted returns the stored form of the job as it was accepted.
 func (j *Job) EncodeAccepted() ([]byte, error) {
-	return json.Marshal(acceptedDocument{j.queue, j.customer, j.policy, j.spec, j.submitted})
+	d := acceptedDocument{Queue: j.queue, Customer: j.customer, Policy: j.policy, Spec: j.spec, Submitted: j.submitted}
+	if j.age > 0 {
+		d.FirstSubmitted = j.FirstSubmitted()
+	}
+	return json.Marshal(d)
 }
 
 // DecodeAccepted decodes the stored form of the job called id. It fails if no customer
@@ -42,7 +49,7 @@
 		// Each owner in turn would run out of memory for a step of a billion tasks.
 		return nil, fmt.Errorf("stored job %s: %w", id, err)
 	}
-	return New(id, d.Queue, d.Policy, d.Spec, d.Submitted, WithCustomer(d.Customer)), nil
+	return New(id, d.Queue, d.Policy, d.Spec, d.Submitted, WithCustomer(d.Customer), WithFirstSubmitted(d.FirstSubmitted)), nil
 }
 
 // progressDocument is the stored form of a job's progress. An occurrence has one row for each
--- a/workload/job.go
+++ b/workload/job.go
@@ -78,6 +78,7 @@
 	policy    Policy
 	spec      *Spec
 	submitted time.Time
+	age       time.Duration // at the acceptance, since the first submission
 	cancelled bool
 	failed    bool
 	// occurrences contains those that have begun and are not completed.
@@ -121,9 +122,6 @@
 // Spec returns the submitted job. It must not be changed.
 func (j *Job) Spec() *Spec { return j.spec }
 
-// Submitted returns when the job was accepted.
-func (j *Job) Submitted() time.Time { return j.submitted }
-
 // Cancelled reports whether the customer has cancelled the job.
 func (j *Job) Cancelled() bool { return j.cancelled }
 
