Intake: the owner is notified of a repeated submission with the stored job

A submission of a job that was accepted before notified the owner with its own text. An owner that had not received the job yet ran that text, and a successor the stored one.

The owner now gets the stored job, read for at most 200 ms; after that its watch delivers the job. A job that has ended meanwhile is not sent at all.

--- a/intake/submit.go
+++ b/intake/submit.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/customer"
@@ -161,14 +162,34 @@
 	}
 	event.JobAccepted.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
 		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)))
-	if result.open {
-		// A job that was accepted before may belong to another pool than the one its queue
-		// has now. If the latter's owner were notified, two owners would run the job.
-		svc.owners.NotifySubmitted(cmp.Or(result.pool, s.Pool), s.ID, s.By.Name, s.Accepted, result.revision)
+	switch {
+	case result.existed && result.open:
+		svc.notifyExisting(ctx, s, result)
+	case result.open:
+		svc.owners.NotifySubmitted(s.Pool, s.ID, s.By.Name, s.Accepted, result.revision)
 	}
 	return nil
 }
 
+// notifyExisting notifies the owner of a job that was stored before s. The owner gets the stored
+// job, in the pool in which it was stored: s may differ from it in everything but the identity, and
+// its queue may have been assigned to another pool since, whose owner would run the job as well. If
+// the stored job cannot be read, the owner gets it from its watch.
+func (svc *Service) notifyExisting(ctx context.Context, s Submission, result commitResult) {
+	ctx, cancel := context.WithTimeout(ctx, existingReadTimeout)
+	defer cancel()
+	pool := cmp.Or(result.pool, s.Pool)
+	stored, err := svc.kv.Get(ctx, workload.OpenKey(pool, s.ID))
+	if err != nil || !stored.Exists() {
+		return
+	}
+	svc.owners.NotifySubmitted(pool, s.ID, s.By.Name, stored.Value(), result.revision)
+}
+
+// existingReadTimeout bounds how long the answer to a repeated submission waits for the stored job.
+// After that time the owner has the job from its watch.
+const existingReadTimeout = 200 * time.Millisecond
+
 // A commitResult is the result of a change that reserves a job's identity.
 type commitResult struct {
 	// revision is the revision at which the identity was reserved.
