Intake: jobs count from their first submission

After an outage of the store, a job that was refused and submitted again counted from its acceptance, so it was placed before one that had just arrived although it could hardly be of use any more.

A test compares the flags of join with their page, which had a help text of its own for one.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -124,6 +124,21 @@
 	}
 }
 
+// TestJoinPage checks that docs/operators/platform.md lists every flag of the subcommand that runs
+// an entry instance, with its help text.
+func TestJoinPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/platform.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := Join()
+	for _, s := range c.Settings() {
+		if row := "| `-" + s + "` | " + c.Help(s) + " |\n"; !strings.Contains(string(page), row) {
+			t.Errorf("docs/operators/platform.md lacks\n%s", row)
+		}
+	}
+}
+
 // TestCommandsPage checks that docs/operators/commands.md lists every flag of every
 // subcommand with its help text, and no other flag.
 func TestCommandsPage(t *testing.T) {
--- a/cli/join.go
+++ b/cli/join.go
@@ -38,8 +38,10 @@
 	c := newCommand("join", "", "run an entry instance on the users' platform")
 	var path string
 	var metricsPort int
+	var deadlineAge bool
 	c.set.String(&path, "settings", "", "path of the settings file that the platform lays")
-	c.set.Int(&metricsPort, "metrics-port", 0, "port on which figures are served at the process's own IP address; 0 takes the second of the internal ports", 0, 65535)
+	c.set.Int(&metricsPort, "metrics-port", 0, "port on which figures and the operators' API are served at the process's own IP address; 0 takes the second of the internal ports", 0, 65535)
+	c.set.Bool(&deadlineAge, "deadline-age", false, "order jobs by when their customers first submitted them, as derived from the deadlines that clients send")
 	c.run = func(ctx context.Context, _ io.Writer, args []string) error {
 		if err := requireArgs(args, 0, "no arguments"); err != nil {
 			return err
@@ -55,7 +57,7 @@
 		defer cancel()
 		sink := event.StartSink(os.Stdout, clock.System{})
 		defer sink.Close()
-		n, err := startNode(runCtx, s, sink)
+		n, err := startNode(runCtx, s, sink, deadlineAge)
 		if err != nil {
 			return err
 		}
@@ -119,7 +121,7 @@
 
 // startNode starts a node that uses the services named in the settings, and registers the
 // node's metrics.
-func startNode(ctx context.Context, s *platform.Settings, sink *event.Sink) (*node.Node, error) {
+func startNode(ctx context.Context, s *platform.Settings, sink *event.Sink, deadlineAge bool) (*node.Node, error) {
 	m := meter.New(clock.System{})
 	limiter := event.NewRateLimiter(slog.NewJSONHandler(sink, nil), clock.System{})
 	logger := slog.New(m.Events(limiter)).With(slog.String("node", s.Name))
@@ -166,6 +168,7 @@
 		GangTimeout: s.GangTime, RemoteDataSlowdown: s.FarFactor, MinHolderInterval: s.HolderTime, MachineOrdersPerSecond: s.MachineCalls,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, MaintenanceTime: s.UpkeepTime}, LowMemory: memory.NearLimit,
 		Keys: node.KeyPolicy{Strict: s.StrictKeys, MaxConfigAge: s.KeyTime}, ConfigApplyTime: s.ConfigTime, EvacuationTime: s.EvacuationTime,
+		DeadlineAge: deadlineAge,
 	}, logger)
 	if err != nil {
 		event.Failed.Log(logger, slog.String("part", "start"), slog.Any("error", err))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -97,7 +97,7 @@
 // Events of jobs.
 var (
 	JobPlaced = define(501, "job placed", slog.LevelInfo, "A job was placed on an instance.")
-	JobEnded  = define(502, "job ended", slog.LevelInfo, "A job has ended, with a result or with a reason why it has none; after is how long it took, and objective is the time in which it should have ended.",
+	JobEnded  = define(502, "job ended", slog.LevelInfo, "A job has ended, with a result or with a reason why it has none; after is how long it took since its first submission, and objective is the time in which it should have ended.",
 		withOutcomes("state", "completed", "failed", "cancelled"), withDuration("after"))
 	JobSetAside          = define(503, "job set aside", slog.LevelWarn, "A job failed on too many instances and is not retried.")
 	PlacementUnavailable = define(504, "placement cut off", slog.LevelWarn, "Jobs cannot be read or written; nothing is started.")
@@ -124,7 +124,7 @@
 	JobTaken                 = define(516, "job taken", slog.LevelInfo, "The owner of a pool has received a job; inherited is whether an earlier owner had begun it.",
 		withOutcomes("inherited", "true", "false"), withDuration("after"))
 	JobUnreadable = define(517, "job unreadable", slog.LevelError, "A stored job cannot be read; it is left as it is.")
-	JobAccepted   = define(518, "job accepted", slog.LevelInfo, "A job is stored, and its customer gets the answer that it is accepted; known is whether it was stored before.",
+	JobAccepted   = define(518, "job accepted", slog.LevelInfo, "A job is stored, and its customer gets the answer that it is accepted; known is whether it was stored before. For a retry, age is the time since its first submission, which was derived from remaining, how long its client will still wait.",
 		withOutcomes("known", "true", "false"), withDuration("took"))
 	JobRefused = define(519, "job refused", slog.LevelWarn, "A job was not accepted; reason is the cause, and sure is whether it is certain that this submission never makes it run.",
 		withOutcomes("sure", "true", "false"))
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -89,13 +89,18 @@
 }
 
 // newHarness returns a service whose owners know no job.
-func newHarness(options ...intake.Option) *harness {
+func newHarness() *harness {
 	h := &harness{clock: &manualClock{now: time.Unix(1000, 0).UTC()}, owners: &noOwners{}, reachable: true}
 	h.kv = memory.New(h.clock).KV()
-	h.service = intake.NewService(h.kv, h.owners, h.clock, func() bool { return h.reachable }, slog.New(slog.DiscardHandler), options...)
+	h.service = h.newService()
 	return h
 }
 
+// newService returns a service on the store of the harness.
+func (h *harness) newService(options ...intake.Option) *intake.Service {
+	return intake.NewService(h.kv, h.owners, h.clock, func() bool { return h.reachable }, slog.New(slog.DiscardHandler), options...)
+}
+
 // oneStep returns a job of one step.
 func oneStep(count int) *workload.Spec {
 	return &workload.Spec{Steps: []workload.Step{{Count: count, Estimate: time.Second}}}
--- a/intake/service.go
+++ b/intake/service.go
@@ -77,7 +77,9 @@
 	// lists them.
 	customers func() (*customer.Directory, int64)
 	caller    customer.Caller
-	logger    *slog.Logger
+	// ages derives when jobs were first submitted; nil if jobs count from their acceptance.
+	ages   *SubmissionAges
+	logger *slog.Logger
 }
 
 // An Option configures a Service.
@@ -95,6 +97,12 @@
 	return func(svc *Service) { svc.customers = customers }
 }
 
+// WithSubmissionAges sets what derives when jobs were first submitted. Without it, jobs count from
+// their acceptance.
+func WithSubmissionAges(ages *SubmissionAges) Option {
+	return func(svc *Service) { svc.ages = ages }
+}
+
 // NewService returns a service for callers without a key. reachable reports whether
 // the store answers at present.
 func NewService(kv pointport.KV, owners OwnerClient, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...Option) *Service {
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -27,6 +27,17 @@
 	By customer.Caller `json:"by,omitzero"`
 	// Accepted is the job in its stored form.
 	Accepted json.RawMessage `json:"accepted"`
+	// age is how long ago the job was first submitted, derived from its client's remaining time.
+	// Both are only logged: a peer gets the time of the first submission in Accepted.
+	age, remaining time.Duration
+}
+
+// logAge returns the attributes of an event about the submission for its age, if it has one.
+func (s Submission) logAge() slog.Attr {
+	if s.age == 0 {
+		return slog.Attr{}
+	}
+	return slog.GroupAttrs("", slog.Duration("age", s.age), slog.Duration("remaining", s.remaining))
 }
 
 // txn returns the transaction that stores the job if its identity is not in use.
@@ -48,6 +59,23 @@
 // *workload.SpecError, a *RefusedError, a *BacklogError, a *RevokedError, a *TakenError or
 // an *AmbiguousError.
 func (svc *Service) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
+	return svc.submit(ctx, q, id, spec, 0, 0)
+}
+
+// SubmitWithin is like Submit for a client that waits for the remaining time, zero if that is not
+// known. If the service derives ages, the job counts from when its customer first submitted it.
+func (svc *Service) SubmitWithin(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec, remaining time.Duration) error {
+	if svc.ages == nil {
+		return svc.Submit(ctx, q, id, spec)
+	}
+	age := svc.ages.Age(svc.clock.Now(), svc.caller.Name, q.Name, remaining)
+	err := svc.submit(ctx, q, id, spec, age, remaining)
+	svc.ages.Observe(svc.clock.Now(), svc.caller.Name, q.Name, remaining, err)
+	return err
+}
+
+// submit submits a job that was first submitted age ago, by its client's remaining time.
+func (svc *Service) submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec, age, remaining time.Duration) error {
 	if err := svc.checkSpec(spec); err != nil {
 		event.JobInvalid.Log(svc.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
@@ -55,11 +83,13 @@
 	if err := svc.checkBacklog(ctx, q, id); err != nil {
 		return err
 	}
-	accepted, err := workload.New(id, q.Name, q.Policy, spec, svc.clock.Now(), workload.WithCustomer(svc.caller.Name)).EncodeAccepted()
+	now := svc.clock.Now()
+	job := workload.New(id, q.Name, q.Policy, spec, now, workload.WithCustomer(svc.caller.Name), workload.WithFirstSubmitted(now.Add(-age)))
+	accepted, err := job.EncodeAccepted()
 	if err != nil {
 		return err
 	}
-	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, By: svc.caller, Accepted: accepted}
+	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, By: svc.caller, Accepted: accepted, age: age, remaining: remaining}
 	err = svc.StoreJob(ctx, s)
 	var refused *RefusedError
 	var ambiguous *AmbiguousError
@@ -118,7 +148,7 @@
 	var refused, refusedHere *RefusedError
 	switch {
 	case err == nil:
-		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause))
+		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause), s.logAge())
 		return nil
 	case errors.As(cause, &ambiguous):
 		return cause
@@ -161,7 +191,7 @@
 		return &TakenError{ID: s.ID}
 	}
 	event.JobAccepted.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
-		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)))
+		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)), s.logAge())
 	switch {
 	case result.existed && result.open:
 		svc.notifyExisting(ctx, s, result)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -75,6 +75,8 @@
 	configApplyTime time.Duration
 	// looseClocks sets machineClock.ownersOnly of all nodes.
 	looseClocks bool
+	// deadlineAge means that jobs count from their first submission.
+	deadlineAge bool
 }
 
 type running struct {
@@ -369,6 +371,7 @@
 		GangTimeout: testbed.DefaultGangTimeout, RemoteDataSlowdown: 2,
 		ConfigApplyTime: c.configApplyTime,
 		Capacity:        capacity.Settings{MoveTime: testbed.DefaultMoveTime, MaintenanceTime: testbed.DefaultMaintenanceTime}, Keys: c.keyPolicy,
+		DeadlineAge: c.deadlineAge,
 		LowMemory: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -114,6 +114,9 @@
 	// LowMemory reports whether the node is too short of memory to store more jobs, so that a
 	// peer should store new ones; nil if that never happens.
 	LowMemory func() bool
+	// DeadlineAge means that jobs count from when their customers first submitted them, as
+	// derived from their clients' deadlines, rather than from their acceptance.
+	DeadlineAge bool
 }
 
 // A KeyPolicy defines how customers' keys are checked while the newest configuration is not
@@ -185,6 +188,9 @@
 	if n.params.LowMemory != nil {
 		options = append(options, intake.WithLowMemory(n.params.LowMemory))
 	}
+	if n.params.DeadlineAge {
+		options = append(options, intake.WithSubmissionAges(intake.NewSubmissionAges(n.services.Clock.Now())))
+	}
 	return options
 }
 
