--- a/intake/service.go
+++ b/intake/service.go
@@ -38,6 +38,12 @@
 	ambiguousRetryInterval = 40 * time.Millisecond
 	// RetryAfter is after which time a refused customer should retry. Outages of
 	// the store last for seconds.
+	//
+	// It is the same for all. Customers arrive spread over the second, and so do their
+	// retries: of 150 after an outage, at most 16 come within 100 ms, where an even spread has
+	// 15 (TestLoadAfterOutage of package schedule). Retry-After has whole seconds: 0 s would be
+	// untrue, and a mixture with 2 s, or refusals that are held back, would have them retry
+	// later on average, although a customer gives up 3 s after its first attempt.
 	RetryAfter = time.Second
 )
 
@@ -77,7 +83,9 @@
 	// lists them.
 	customers func() (*customer.Directory, int64)
 	caller    customer.Caller
-	logger    *slog.Logger
+	// ages derives when jobs were first submitted; nil if jobs count from their acceptance.
+	ages   *SubmissionAges
+	logger *slog.Logger
 }
 
 // An Option configures a Service.
@@ -95,6 +103,12 @@
 	return func(svc *Service) { svc.customers = customers }
 }
 
+// WithSubmissionAges sets what derives when jobs were first submitted. Without it, jobs count from
+// their acceptance.
+func WithSubmissionAges(ages *SubmissionAges) Option {
+	return func(svc *Service) { svc.ages = ages }
+}
+
 // NewService returns a service for callers without a key. reachable reports whether
 // the store answers at present.
 func NewService(kv pointport.KV, owners OwnerClient, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...Option) *Service {
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/customer"
@@ -26,6 +27,17 @@
 	By customer.Caller `json:"by,omitzero"`
 	// Accepted is the job in its stored form.
 	Accepted json.RawMessage `json:"accepted"`
+	// age is how long ago the job was first submitted, derived from its client's remaining time.
+	// Both are only logged: a peer gets the time of the first submission in Accepted.
+	age, remaining time.Duration
+}
+
+// logAge returns the attributes of an event about the submission for its age, if it has one.
+func (s Submission) logAge() slog.Attr {
+	if s.age == 0 {
+		return slog.Attr{}
+	}
+	return slog.GroupAttrs("", slog.Duration("age", s.age), slog.Duration("remaining", s.remaining))
 }
 
 // txn returns the transaction that stores the job if its identity is not in use.
@@ -47,6 +59,23 @@
 // *workload.SpecError, a *RefusedError, a *BacklogError, a *RevokedError, a *TakenError or
 // an *AmbiguousError.
 func (svc *Service) Submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec) error {
+	return svc.submit(ctx, q, id, spec, 0, 0)
+}
+
+// SubmitWithin is like Submit for a client that waits for the remaining time, zero if that is not
+// known. If the service derives ages, the job counts from when its customer first submitted it.
+func (svc *Service) SubmitWithin(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec, remaining time.Duration) error {
+	if svc.ages == nil {
+		return svc.Submit(ctx, q, id, spec)
+	}
+	age := svc.ages.Age(svc.clock.Now(), svc.caller.Name, q.Name, remaining)
+	err := svc.submit(ctx, q, id, spec, age, remaining)
+	svc.ages.Observe(svc.clock.Now(), svc.caller.Name, q.Name, remaining, err)
+	return err
+}
+
+// submit submits a job that was first submitted age ago, by its client's remaining time.
+func (svc *Service) submit(ctx context.Context, q *workload.Queue, id string, spec *workload.Spec, age, remaining time.Duration) error {
 	if err := svc.checkSpec(spec); err != nil {
 		event.JobInvalid.Log(svc.logger, slog.String("job", id), slog.String("queue", q.Name), slog.Any("error", err))
 		return err
@@ -54,11 +83,13 @@
 	if err := svc.checkBacklog(ctx, q, id); err != nil {
 		return err
 	}
-	accepted, err := workload.New(id, q.Name, q.Policy, spec, svc.clock.Now(), workload.WithCustomer(svc.caller.Name)).EncodeAccepted()
+	now := svc.clock.Now()
+	job := workload.New(id, q.Name, q.Policy, spec, now, workload.WithCustomer(svc.caller.Name), workload.WithFirstSubmitted(now.Add(-age)))
+	accepted, err := job.EncodeAccepted()
 	if err != nil {
 		return err
 	}
-	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, By: svc.caller, Accepted: accepted}
+	s := Submission{ID: id, Queue: q.Name, Pool: q.Pool, By: svc.caller, Accepted: accepted, age: age, remaining: remaining}
 	err = svc.StoreJob(ctx, s)
 	var refused *RefusedError
 	var ambiguous *AmbiguousError
@@ -117,7 +148,7 @@
 	var refused, refusedHere *RefusedError
 	switch {
 	case err == nil:
-		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause))
+		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause), s.logAge())
 		return nil
 	case errors.As(cause, &ambiguous):
 		return cause
@@ -160,15 +191,35 @@
 		return &TakenError{ID: s.ID}
 	}
 	event.JobAccepted.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
-		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)))
-	if result.open {
-		// A job that was accepted before may belong to another pool than the one its queue
-		// has now. If the latter's owner were notified, two owners would run the job.
-		svc.owners.NotifySubmitted(cmp.Or(result.pool, s.Pool), s.ID, s.By.Name, s.Accepted, result.revision)
+		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)), s.logAge())
+	switch {
+	case result.existed && result.open:
+		svc.notifyExisting(ctx, s, result)
+	case result.open:
+		svc.owners.NotifySubmitted(s.Pool, s.ID, s.By.Name, s.Accepted, result.revision)
 	}
 	return nil
 }
 
+// notifyExisting notifies the owner of a job that was stored before s. The owner gets the stored
+// job, in the pool in which it was stored: s may differ from it in everything but the identity, and
+// its queue may have been assigned to another pool since, whose owner would run the job as well. If
+// the stored job cannot be read, the owner gets it from its watch.
+func (svc *Service) notifyExisting(ctx context.Context, s Submission, result commitResult) {
+	ctx, cancel := context.WithTimeout(ctx, existingReadTimeout)
+	defer cancel()
+	pool := cmp.Or(result.pool, s.Pool)
+	stored, err := svc.kv.Get(ctx, workload.OpenKey(pool, s.ID))
+	if err != nil || !stored.Exists() {
+		return
+	}
+	svc.owners.NotifySubmitted(pool, s.ID, s.By.Name, stored.Value(), result.revision)
+}
+
+// existingReadTimeout bounds how long the answer to a repeated submission waits for the stored job.
+// After that time the owner has the job from its watch.
+const existingReadTimeout = 200 * time.Millisecond
+
 // A commitResult is the result of a change that reserves a job's identity.
 type commitResult struct {
 	// revision is the revision at which the identity was reserved.
