Intake: compare deadlines with those of all customers while too few of one are known

With 16 samples for each customer and queue no age was ever derived. Eight suffice now, and where a customer and queue has fewer, those of all customers of the member stand in.

--- a/intake/submission_age.go
+++ b/intake/submission_age.go
@@ -21,7 +21,7 @@
 	// client that is refused waits for at least a second before it retries.
 	minSubmissionAge = 300 * time.Millisecond
 	// minDeadlineSamples is how many first deadlines must be known before ages are derived.
-	minDeadlineSamples = 16
+	minDeadlineSamples = 8
 	// maxDeadlineSamples is the number of first deadlines at which all counts are halved, so that
 	// new ones replace old ones.
 	maxDeadlineSamples = 512
@@ -53,7 +53,9 @@
 //
 //   - Ages are derived only within retryWindow after a submission that this member could not
 //     store. At all other times every age is zero.
-//   - Deadlines are compared only with those of the same customer and queue.
+//   - Deadlines are compared with those of the same customer and queue. While too few of these are
+//     known, they are compared with those of all customers of this member: most members see only a
+//     few submissions of each customer.
 //   - Every value with a share of minUsualShare is a usual one, not only the most frequent value. A
 //     deadline close to a usual one has the age zero, and any other is compared with the nearest
 //     longer one. Where a customer's deadlines are of many values, its ages are therefore too low
@@ -74,6 +76,10 @@
 	customer, queue string
 }
 
+// allSources is the source under which the deadlines of all customers and queues are counted. No
+// queue has an empty name.
+var allSources = deadlineSource{}
+
 // deadlineCounts counts the first deadlines of a source.
 type deadlineCounts struct {
 	usedAt time.Time
@@ -104,12 +110,13 @@
 	if !now.Before(a.retriesUntil) {
 		return 0
 	}
-	counts := a.sources[deadlineSource{customer, queue}]
-	if counts == nil {
-		return 0
+	for _, key := range []deadlineSource{{customer, queue}, allSources} {
+		if counts := a.sources[key]; counts != nil && counts.total >= minDeadlineSamples {
+			counts.usedAt = now
+			return counts.age(remaining)
+		}
 	}
-	counts.usedAt = now
-	return counts.age(remaining)
+	return 0
 }
 
 // Observe records the outcome of a submission whose client waits for the remaining time.
@@ -126,6 +133,7 @@
 		return
 	}
 	a.source(now, deadlineSource{customer, queue}).add(remaining)
+	a.source(now, allSources).add(remaining)
 }
 
 func plausibleDeadline(d time.Duration) bool { return d > 0 && d < maxPlausibleDeadline }
@@ -203,7 +211,7 @@
 			nearest = shorter
 		}
 	}
-	if c.total < minDeadlineSamples || float64(covered) < minUsualCoverage*float64(c.total) {
+	if float64(covered) < minUsualCoverage*float64(c.total) {
 		return 0
 	}
 	return min(nearest, workload.MaxSubmissionAge)
