--- a/peerlease/doc.go
+++ b/peerlease/doc.go
@@ -17,7 +17,10 @@
 //     time. Both count time during which their machine is suspended.
 //   - Whoever is asked by a Document's reader is also asked by the owner: the owner needs the leases
 //     of the standbys of every Document that the store may hold.
-//   - A standby that has allowed a takeover grants no more leases to that owner.
+//   - A standby that has allowed a takeover, or has sent the transaction of its own, grants no more
+//     leases to that owner.
+//   - A document whose owner does not know of all starts of the owners before it says so, until it
+//     does. No successor takes these starts for recorded.
 //   - An owner holds no lease for longer than the Bound of its Document after its key is gone.
 //
 // The package does no input or output. All times are steady times of the member's own clock.
--- a/peerlease/document.go
+++ b/peerlease/document.go
@@ -40,6 +40,9 @@
 	Standbys []Process       `json:"standbys"`
 	// Bound is how long after its owner key is gone the owner may hold peer leases, at most.
 	Bound time.Duration `json:"bound"`
+	// Unrecorded reports that owners before this one may have started tasks that are not recorded
+	// in the store, and that this owner has not settled all of them yet.
+	Unrecorded bool `json:"unrecorded,omitempty"`
 }
 
 // NewDocument returns a document of an owner that uses peer leases for at most limit after its
--- a/peerlease/grants.go
+++ b/peerlease/grants.go
@@ -86,6 +86,10 @@
 
 // BeginTakeover makes this member grant no more leases for a pool, and returns for how much longer
 // one that it has granted lasts. Until then it must not act as the pool's owner.
+//
+// Before it sends the transaction that takes the pool, the member must call AllowTakeover for the
+// former owner as well, and send it only if no granted lease lasts. The transaction may be carried
+// out after EndTakeover; a lease granted meanwhile would be unknown to whoever takes the pool next.
 func (g *Grants) BeginTakeover(pool string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/peerlease/proof.go
+++ b/peerlease/proof.go
@@ -17,11 +17,12 @@
 	limit time.Duration
 
 	mu sync.Mutex
-	// stored are the standbys of the document that is stored. pending are those of a document
-	// whose transaction has no answer yet; changing reports whether there is one.
+	// stored are the standbys of the document that is stored. pending are those of documents
+	// whose transactions have no answer yet.
 	stored, pending []Process
-	changing        bool
-	leases          map[string]time.Time // by process ID, until when a lease counts
+	// pendingEmpty reports whether one of the pending documents names no standby.
+	pendingEmpty bool
+	leases       map[string]time.Time // by process ID, until when a lease counts
 }
 
 // NewProof returns the proof of an ownership whose stored document names the given standbys. The
@@ -38,21 +39,29 @@
 }
 
 // BeginChange notes that a document with other standbys is about to be sent to the store. The leases
-// of both are needed until EndChange.
+// of both are needed until EndChange. If an earlier document has no answer yet, the leases of its
+// standbys stay needed as well, because the store may still carry out its transaction.
 func (p *Proof) BeginChange(standbys []Process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pending, p.changing = standbys, true
+	p.pending = union(p.pending, standbys)
+	p.pendingEmpty = p.pendingEmpty || len(standbys) == 0
 }
 
-// EndChange notes whether the document of BeginChange is stored.
+// EndChange notes whether a document of BeginChange is stored. It must only be called with false if
+// no such transaction can be carried out any more; a read that shows the earlier document does not
+// tell that. If there were several documents, it is not known which is stored, and the standbys of
+// all count as stored until the next change.
 func (p *Proof) EndChange(stored bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if stored {
+	switch {
+	case stored && p.pendingEmpty:
+		p.stored = nil
+	case stored:
 		p.stored = p.pending
 	}
-	p.pending, p.changing = nil, false
+	p.pending, p.pendingEmpty = nil, false
 }
 
 // Needed returns the standbys whose leases prove the ownership.
@@ -63,9 +72,12 @@
 }
 
 // needed is Needed with the lock held.
-func (p *Proof) needed() []Process {
-	out := slices.Clone(p.stored)
-	for _, s := range p.pending {
+func (p *Proof) needed() []Process { return union(p.stored, p.pending) }
+
+// union returns the processes of two lists, each once.
+func union(a, b []Process) []Process {
+	out := slices.Clone(a)
+	for _, s := range b {
 		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
@@ -98,9 +110,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// A stored or pending document without standbys can be taken over by any member that asks
-	// only the owner.
-	if len(p.stored) == 0 || p.changing && len(p.pending) == 0 {
+	// A pool whose stored or pending document names no standbys can be taken over by any member
+	// that asks only the owner.
+	if len(p.stored) == 0 || p.pendingEmpty {
 		return time.Time{}
 	}
 	until := provenByStore.Add(p.limit)
--- a/peerlease/takeover.go
+++ b/peerlease/takeover.go
@@ -87,9 +87,19 @@
 // standby must besides wait for the leases that it has granted itself, see Grants.BeginTakeover.
 func (v *Vacancy) Verdict(now time.Time, self Process, started time.Time) Verdict {
 	d := v.Document
-	switch {
-	case d == nil:
+	if d == nil {
 		return Verdict{At: now, Recorded: true, Reason: "no owner has used peer leases"}
+	}
+	out := v.verdict(now, self, started)
+	// What the former owner inherited without settling it is unrecorded, whoever else answers.
+	out.Recorded = out.Recorded && !d.Unrecorded
+	return out
+}
+
+// verdict is Verdict for a pool with a document, without regard to Document.Unrecorded.
+func (v *Vacancy) verdict(now time.Time, self Process, started time.Time) Verdict {
+	d := v.Document
+	switch {
 	case d.ID == self.ID:
 		return Verdict{At: now, Recorded: v.Recorded, Reason: "this process was the owner"}
 	case d.sameMachine(self):
