Workload: reject jobs whose counts or needs overflow

Needs had no upper bound, so that their products with counts overflowed too.

Compares each count with what is left of MaxTasks, and bounds needs at a million cores, a petabyte of memory or as many accelerators, the bound that instances' capacities have. A stored job is decoded with the same check.

--- a/workload/spec.go
+++ b/workload/spec.go
@@ -18,6 +18,10 @@
 	// MaxPayload is the greatest length of a job's payload, in bytes. The platform
 	// defines it.
 	MaxPayload = 4000
+	// maxNeed is the largest need of a task in each unit: a million cores, or a petabyte of
+	// memory. No instance has more, and sums over the tasks of a pool stay far below the
+	// range of an int64.
+	maxNeed = 1_000_000_000
 )
 
 // IDDigits is the number of hexadecimal digits of a job ID.
@@ -122,14 +126,15 @@
 	return s.Recur.First.Add(time.Duration(k) * s.Recur.Every)
 }
 
-// tasks returns the number of tasks of an occurrence. It stops counting once there are
-// more than MaxTasks.
+// tasks returns the number of tasks of an occurrence, or MaxTasks + 1 if there are more than
+// MaxTasks.
 func (s *Spec) tasks() int {
 	n := 0
 	for i := range s.Steps {
-		if n += s.Steps[i].Count; n > MaxTasks {
-			return n
+		if s.Steps[i].Count > MaxTasks-n { // the sum might overflow
+			return MaxTasks + 1
 		}
+		n += s.Steps[i].Count
 	}
 	return n
 }
@@ -176,8 +181,8 @@
 			return err
 		}
 	}
-	if tasks := s.tasks(); tasks > MaxTasks {
-		return &SpecError{"steps", tasks, fmt.Sprintf("have more than %d tasks", MaxTasks)}
+	if s.tasks() > MaxTasks {
+		return &SpecError{"steps", len(s.Steps), fmt.Sprintf("must have at most %d tasks in total", MaxTasks)}
 	}
 	return nil
 }
@@ -189,6 +194,8 @@
 		return &SpecError{field("count"), s.Count, "must be above 0"}
 	case s.Need.CPUMilli < 0 || s.Need.MemoryMiB < 0 || s.Need.Accelerators < 0:
 		return &SpecError{field("need"), s.Need, "must not be negative"}
+	case s.Need.CPUMilli > maxNeed || s.Need.MemoryMiB > maxNeed || s.Need.Accelerators > maxNeed:
+		return &SpecError{field("need"), s.Need, fmt.Sprintf("must not exceed %d in any unit", maxNeed)}
 	case s.Estimate < 0:
 		return &SpecError{field("estimate"), s.Estimate, "must not be negative"}
 	}
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -426,3 +427,38 @@
 		t.Errorf("%d tasks are in progress after an occurrence is completed, want %d again", len(refs(j, workload.Pending)), open)
 	}
 }
+
+// jobsBeyondAnyFleet are the steps of jobs whose sums over tasks overflow.
+var jobsBeyondAnyFleet = map[string][]workload.Step{
+	"sum of counts overflows":  {{Count: 1}, {Count: math.MaxInt}},
+	"sum of counts wraps to 0": {{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}},
+	"need of a gang overflows": {{Count: 4, Gang: true, Need: pointport.Shape{MemoryMiB: 1 << 62}}},
+	"sum of needs overflows":   {{Count: 1, Need: pointport.Shape{CPUMilli: math.MaxInt64}}},
+	"accelerators overflow":    {{Count: 2, Need: pointport.Shape{Accelerators: math.MaxInt64}}},
+}
+
+// Guards against jobs that pass the checks because a sum overflows: their owner, and each successor,
+// would allocate their tasks without bound or compute negative needs.
+func TestOverflowingJobsAreRejected(t *testing.T) {
+	for name, steps := range jobsBeyondAnyFleet {
+		spec := &workload.Spec{Steps: steps}
+		var invalid *workload.SpecError
+		if err := spec.Check(); !errors.As(err, &invalid) {
+			t.Errorf("%s: Check returns %v, want a *SpecError", name, err)
+		}
+	}
+}
+
+// Guards against stored jobs that an earlier version accepted although a sum overflows: each owner
+// in turn would run out of memory.
+func TestStoredOverflowingJobsAreRejected(t *testing.T) {
+	for name, steps := range jobsBeyondAnyFleet {
+		stored, err := workload.New("00112233445566aa", "q", workload.Policy{MaxAttempts: 3}, &workload.Spec{Steps: steps}, time.Unix(1000, 0)).EncodeAccepted()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := workload.DecodeAccepted("00112233445566aa", stored); err == nil {
+			t.Errorf("%s: the stored job is accepted", name)
+		}
+	}
+}
