Bound durations and times that a job's customer states

Estimates were added along a job's steps, so that a chain of long ones gave a negative critical path, objective or work. A first time beyond the year 9999 passed the check and failed when the job was encoded, which looks like a failure of the store.

The scheduler takes a declared duration for a year at most and bounds what it computes from it. Spec.Check rejects a first time that cannot be stored.

--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -15,6 +15,12 @@
 	imageWeight = 0.25
 	// defaultDuration is assumed for a task without an observation or a declared duration.
 	defaultDuration = time.Second
+	// maxDeclared bounds the declared duration of a task. The sum over the steps of a job is then
+	// at most 64 years.
+	maxDeclared = 365 * 24 * time.Hour
+	// maxComputed bounds a duration that is computed from declared ones, so that the sum of two
+	// does not overflow: 100 years.
+	maxComputed = 100 * 365 * 24 * time.Hour
 	// fitPrior is the weight of the declared duration against a queue's observations, as a number
 	// of observations.
 	fitPrior = 4.0
@@ -84,14 +90,19 @@
 	f.add(declared(s).Seconds(), d.Seconds())
 }
 
-// declared returns the duration that the customer has declared, or the default.
+// declared returns the duration that the customer has declared, at most maxDeclared, or the default.
 func declared(s *workload.Step) time.Duration {
 	if s.Estimate > 0 {
-		return s.Estimate
+		return min(s.Estimate, maxDeclared)
 	}
 	return defaultDuration
 }
 
+// computed returns a computed number of nanoseconds as a duration, at most maxComputed.
+func computed(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(maxComputed)))
+}
+
 // duration returns the estimated duration of a task of a step.
 func (e *estimates) duration(queue string, s *workload.Step) time.Duration {
 	if s.Image != "" {
--- a/schedule/excess.go
+++ b/schedule/excess.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		part := max(totals.dominant(a), s.weightOf(a)/totals.weights)
-		wait := time.Duration(float64(waiting.work) / part)
+		wait := computed(float64(waiting.work) / part)
 		slack := waiting.slack / time.Duration(waiting.jobs)
 		switch {
 		case wait < overloadFactor*slack:
@@ -86,8 +86,8 @@
 			continue
 		}
 		sum := out[e.account]
-		sum.work += s.workOf(e, capacity)
-		sum.slack += e.rank.latest.Sub(e.job.Submitted())
+		sum.work = min(sum.work+s.workOf(e, capacity), maxComputed)
+		sum.slack = min(sum.slack+e.rank.latest.Sub(e.job.Submitted()), maxComputed)
 		sum.jobs++
 		out[e.account] = sum
 	}
@@ -102,7 +102,7 @@
 	for n := range spec.Steps {
 		step := &spec.Steps[n]
 		share := dominantShare(step.Reservation().Times(step.Count), capacity)
-		sum += time.Duration(share * float64(s.estimates.duration(e.job.Queue(), step)))
+		sum = computed(float64(sum) + share*float64(s.estimates.duration(e.job.Queue(), step)))
 	}
 	return sum
 }
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -77,7 +77,7 @@
 
 // allowance returns how long a job with the given critical path may take under a policy.
 func allowance(p workload.Policy, criticalPath time.Duration) time.Duration {
-	return time.Duration(p.Stretch*float64(criticalPath)) + p.Target
+	return computed(p.Stretch*float64(criticalPath) + float64(p.Target))
 }
 
 // objective returns how long a job may take, by the current estimates of its work.
--- a/workload/spec.go
+++ b/workload/spec.go
@@ -18,6 +18,8 @@
 	// MaxPayload is the greatest length of a job's payload, in bytes. The platform
 	// defines it.
 	MaxPayload = 4000
+	// maxYear is the last year of which JSON can encode a time.
+	maxYear = 9999
 	// maxNeed is the largest need of a task in each unit: a million cores, or a petabyte of
 	// memory. No instance has more, and sums over the tasks of a pool stay far below the
 	// range of an int64.
@@ -173,6 +175,9 @@
 	if s.Recur.Every < 0 {
 		return &SpecError{"recur.every", s.Recur.Every, "must not be negative"}
 	}
+	if year := s.Recur.First.Year(); year < 0 || year > maxYear {
+		return &SpecError{"recur.first", s.Recur.First, fmt.Sprintf("must be in the years 0 to %d", maxYear)}
+	}
 	if s.Recur.Every > 0 && s.Recur.Times > int(math.MaxInt64/s.Recur.Every) {
 		return &SpecError{"recur.times", s.Recur.Times, "the last time is beyond all dates"}
 	}
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -462,3 +462,15 @@
 		}
 	}
 }
+
+// Guards against a job that is refused only while it is encoded, which looks like a failure of the
+// store: JSON has no times beyond the year 9999.
+func TestFirstTimeThatCannotBeStoredIsRejected(t *testing.T) {
+	for _, first := range []time.Time{time.UnixMilli(math.MaxInt64), time.UnixMilli(math.MinInt64), time.Date(10_000, 1, 1, 0, 0, 0, 0, time.UTC)} {
+		spec := &workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: 2, First: first, Every: time.Second}}
+		var invalid *workload.SpecError
+		if err := spec.Check(); !errors.As(err, &invalid) || invalid.Field != "recur.first" {
+			t.Errorf("first %d: %v, want a *SpecError of recur.first", first.Unix(), err)
+		}
+	}
+}
