Command: bound the needs of a job

A need of 2^63 - 1 passed the check, and the sum with what its customer uses wrapped around, so that the check of the customer's quota passed as well. Needs are bounded as the capacities of instances are.

--- a/command/job.go
+++ b/command/job.go
@@ -19,11 +19,13 @@
 // JobLog is the log of a zone's jobs.
 type JobLog = changelog.Log[*job.State, job.Change]
 
-// Limits on the fields of a submission: lengths in bytes, and the run time.
+// Limits on the fields of a submission: lengths in bytes, the run time, and the need in each unit,
+// a million cores or a petabyte of memory. No instance has more, and sums of needs do not overflow.
 const (
 	maxJobKey     = 255
 	maxJobName    = 63
 	maxJobRuntime = 7 * 24 * time.Hour
+	maxJobNeed    = 1_000_000_000
 )
 
 // A Submission is a customer's request to run a job. Its fields are exported for
@@ -63,6 +65,8 @@
 		return &FieldError{"service", s.Service, fmt.Sprintf("must have from 1 to %d bytes", maxJobName)}
 	case s.Need.CPUMilli <= 0 || s.Need.MemoryMiB < 0 || s.Need.Accelerators < 0:
 		return &FieldError{"need", fmt.Sprintf("%+v", s.Need), "must ask for some processor and nothing negative"}
+	case s.Need.CPUMilli > maxJobNeed || s.Need.MemoryMiB > maxJobNeed || s.Need.Accelerators > maxJobNeed:
+		return &FieldError{"need", fmt.Sprintf("%+v", s.Need), fmt.Sprintf("must not exceed %d in any unit", maxJobNeed)}
 	case s.Runtime.Value() <= 0 || s.Runtime.Value() > maxJobRuntime:
 		return &FieldError{"runtime", s.Runtime.String(), fmt.Sprintf("must be a duration with its unit, up to %v", maxJobRuntime)}
 	}
