Command: a cancelled wave needs no template

Removing a template ignores cancelled waves that name it, but writing such a wave afterwards failed with a ReferenceError. References of cancelled waves are no longer checked, in either direction.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -38,3 +38,44 @@
 		}
 	}
 }
+
+// Guards against a cancelled wave that can no longer be written once its template was removed, which
+// cancelled waves do not prevent.
+func TestCancelledWaveNeedsNoTemplate(t *testing.T) {
+	c := newClock()
+	log := changelog.New[*config.State, config.Change](memory.New(c), c, "config", config.NewState())
+	configure := func(document, removed string) error {
+		p := command.Proposal{Author: "operator", Removed: removed, ReadVersion: command.AnyVersion}
+		if document != "" {
+			objects, err := config.Parse("test", []byte(document))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Object = &objects[0]
+		}
+		_, err := command.Configure(context.Background(), log, c, p)
+		return err
+	}
+	const template, wave = "kind: Template\nname: proof\npool: {size: 3}\n", "kind: Wave\nname: kernel\ntemplate: proof\nstate: "
+	for _, document := range []string{template, wave + "run\n"} {
+		if err := configure(document, ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var dangling *command.ReferenceError
+	if err := configure("", config.ID(config.KindTemplate, "proof")); !errors.As(err, &dangling) {
+		t.Errorf("removing the template of a running wave: %v, want a *ReferenceError", err)
+	}
+	if err := configure(wave+"cancel\n", ""); err != nil {
+		t.Fatal(err)
+	}
+	if err := configure("", config.ID(config.KindTemplate, "proof")); err != nil {
+		t.Fatalf("removing the template of a cancelled wave: %v", err)
+	}
+	if err := configure(wave+"cancel\n", ""); err != nil {
+		t.Errorf("writing the cancelled wave again: %v", err)
+	}
+	if err := configure(wave+"run\n", ""); !errors.As(err, &dangling) {
+		t.Errorf("starting the wave again: %v, want a *ReferenceError", err)
+	}
+}
--- a/command/config.go
+++ b/command/config.go
@@ -93,7 +93,7 @@
 }
 
 // checkReferences checks that the proposal leaves no reference to a template that
-// does not exist.
+// does not exist. A cancelled wave does not need its template.
 func checkReferences(s *config.State, p Proposal) error {
 	if p.Object == nil {
 		return checkRemoval(s, p.Removed)
@@ -102,7 +102,7 @@
 	if params := p.Object.Parameters(); params != nil {
 		name = params.Template
 	}
-	if w := p.Object.Wave(); w != nil {
+	if w := p.Object.Wave(); w != nil && w.State != config.WaveCancel {
 		name = w.Template
 	}
 	if name == "" {
