Hedge: an answer that failed does not delay the next call

The time at which a part of an answer last arrived was kept for all calls together. If one call's answer began and broke off while another call had got none, the next call was made only after the pause that an arriving answer may take, 0.5 s.

The time is kept for each call and is dropped when the call fails; if the next call was due, it is made at once.

--- a/hedge/kv.go
+++ b/hedge/kv.go
@@ -102,8 +102,9 @@
 
 // An outcome is the result of one call.
 type outcome[T any] struct {
-	value T
-	err   error
+	number int // of the call
+	value  T
+	err    error
 }
 
 // A callKind is whether a call may change the store.
@@ -122,6 +123,10 @@
 	outcomes chan outcome[T]
 	progress chan int // number of a call when a part of its answer arrives
 	cancels  []context.CancelFunc
+	// parts holds, for each call, when a part of its answer last arrived, zero if none did. A
+	// call that has failed has none, and takes no more.
+	parts []time.Time
+	ended []bool // whether a call has failed
 }
 
 // race makes a call, repeats it while its answer is overdue, and returns the first
@@ -137,7 +142,7 @@
 // run makes the calls and returns their result.
 func (r *hedgedCall[T]) run(ctx context.Context) (T, error) {
 	var failed outcome[T]
-	var lastPart time.Time // when a part of an answer last arrived
+	overdue := false // whether the next call waits only for an answer that is arriving
 	r.send(ctx)
 	pending := 1
 	wait := r.kv.overdueAfter()
@@ -154,13 +159,22 @@
 			if pending--; pending == 0 {
 				return failed.value, failed.err
 			}
+			r.parts[o.number], r.ended[o.number] = time.Time{}, true
+			if overdue && r.lastPart().IsZero() {
+				timer = r.kv.clock.After(0)
+			}
 		case n := <-r.progress:
-			if lastPart.IsZero() {
+			if r.ended[n] {
+				continue
+			}
+			if r.lastPart().IsZero() {
 				r.cancelOthers(n)
 			}
-			lastPart = r.kv.clock.Now()
+			r.parts[n] = r.kv.clock.Now()
 		case <-timer:
+			lastPart := r.lastPart()
 			if pause := r.kv.clock.Now().Sub(lastPart); !lastPart.IsZero() && pause < maxPause {
+				overdue = true
 				timer = r.kv.clock.After(maxPause - pause)
 				continue
 			}
@@ -168,7 +182,8 @@
 				timer = nil
 				continue
 			}
-			lastPart = time.Time{}
+			overdue = false
+			clear(r.parts)
 			r.send(ctx)
 			pending++
 			wait *= 2
@@ -177,11 +192,24 @@
 	}
 }
 
+// lastPart returns when a part of an answer last arrived, of the calls that have not failed, or zero
+// if none has arrived since the last call was sent.
+func (r *hedgedCall[T]) lastPart() time.Time {
+	var last time.Time
+	for _, at := range r.parts {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // send starts one more call.
 func (r *hedgedCall[T]) send(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	number := len(r.cancels)
 	r.cancels = append(r.cancels, cancel)
+	r.parts, r.ended = append(r.parts, time.Time{}), append(r.ended, false)
 	start := r.kv.clock.Now()
 	var begun sync.Once
 	record := func() { r.kv.recordLatency(r.kv.clock.Now().Sub(start)) }
@@ -197,7 +225,7 @@
 		if !unanswered(err) {
 			begun.Do(record)
 		}
-		r.outcomes <- outcome[T]{value, err}
+		r.outcomes <- outcome[T]{number, value, err}
 	}()
 }
 
--- a/hedge/progress_test.go
+++ b/hedge/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -99,3 +100,45 @@
 		t.Errorf("%d calls in 2 s, want a repeated call after the pause", got)
 	}
 }
+
+// A scriptedKV is a store whose calls of Commit behave as scripted, one function for each.
+type scriptedKV struct {
+	pointport.KV
+	calls  atomic.Int64
+	script []func(ctx context.Context) error
+}
+
+func (k *scriptedKV) Commit(ctx context.Context, _ pointport.Txn) (pointport.Revision, error) {
+	return 1, k.script[k.calls.Add(1)-1](ctx)
+}
+
+// Guards against a change that is repeated late: the answer to one call begins and then fails, while
+// another call has got no answer at all. An answer that has failed must not delay the next call as
+// one that is arriving does.
+func TestFailedAnswerDoesNotDelayNextCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context) error {
+			<-ctx.Done()
+			return &pointport.UnavailableError{Op: "commit", Err: ctx.Err(), Ambiguous: true}
+		}
+		breaksOff := func(ctx context.Context) error {
+			pointport.Progress(ctx)
+			time.Sleep(20 * time.Millisecond)
+			return &pointport.UnavailableError{Op: "commit", Err: io.ErrUnexpectedEOF, Ambiguous: true}
+		}
+		for name, script := range map[string][]func(context.Context) error{
+			"before the next call is due": {silent, breaksOff},
+			"after the next call was due": {silent, func(ctx context.Context) error {
+				time.Sleep(90 * time.Millisecond)
+				return breaksOff(ctx)
+			}},
+		} {
+			kv := &scriptedKV{script: append(script, func(context.Context) error { return nil })}
+			from := time.Now()
+			_, err := hedge.New(kv, clock.System{}).Commit(t.Context(), create)
+			if took := time.Since(from); err != nil || took > 200*time.Millisecond || kv.calls.Load() != 3 {
+				t.Errorf("%s: %v after %v and %d calls, want success within 200ms by the third call", name, err, took, kv.calls.Load())
+			}
+		}
+	})
+}
