Changelog: catch up after the segment read last was removed

A node resumes from the last segment that it has read. If that one was removed past the retention meanwhile, the missing segment was taken for the end of the log: the node kept its old state, a follower's watch returned at once for ever, and an append conflicted for ever.

--- a/changelog/log.go
+++ b/changelog/log.go
@@ -306,14 +306,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if !resume {
-		snap, _, err := g.readSnapshot(ctx)
-		if err != nil {
-			return nil, err
-		}
-		t = &tail[S, C]{state: snap.State, number: snap.Next}
+	if resume {
+		t, err = g.readForward(ctx, t)
+	} else {
+		t, err = g.readFromSnapshot(ctx)
+	}
+	if errors.Is(err, errSegmentRemoved) {
+		t, err = g.readFromSnapshot(ctx)
 	}
-	t, err = g.readForward(ctx, t)
 	if err != nil {
 		return nil, err
 	}
@@ -326,6 +326,19 @@
 	return t, nil
 }
 
+// readFromSnapshot reads the snapshot and every segment after it.
+func (g *Log[S, C]) readFromSnapshot(ctx context.Context) (*tail[S, C], error) {
+	snap, _, err := g.readSnapshot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return g.readForward(ctx, &tail[S, C]{state: snap.State, number: snap.Next})
+}
+
+// errSegmentRemoved reports that a segment which was read before no longer exists, so that the log
+// cannot be read on from there.
+var errSegmentRemoved = errors.New("the segment was removed")
+
 // canResume reports whether the log can be read on from t without a snapshot:
 // t's segment was already read, is the first one, or the one before it still exists.
 func (g *Log[S, C]) canResume(ctx context.Context, t *tail[S, C]) (bool, error) {
@@ -339,13 +352,17 @@
 	return e.Exists(), err
 }
 
-// readForward reads every segment from t to the end of the log.
+// readForward reads every segment from t to the end of the log. It fails with errSegmentRemoved if
+// t's segment was read before and no longer exists.
 func (g *Log[S, C]) readForward(ctx context.Context, t *tail[S, C]) (*tail[S, C], error) {
 	for {
 		e, err := g.store.Get(ctx, g.segmentKey(t.number))
 		if err != nil {
 			return nil, err
 		}
+		if !e.Exists() && t.revision != 0 {
+			return nil, fmt.Errorf("%s: %w", e.Key(), errSegmentRemoved)
+		}
 		if !e.Exists() {
 			return t, nil
 		}
--- a/changelog/log_test.go
+++ b/changelog/log_test.go
@@ -191,3 +191,31 @@
 		t.Errorf("the node returned to version %d, want 2", v)
 	}
 }
+
+// Guards against a node that takes a segment which it has read, and which was removed past the
+// retention meanwhile, for the end of the log: it would keep its old state, and an append or a
+// follower would go on for ever without a pause.
+func TestNodeBehindRetentionCatchesUp(t *testing.T) {
+	store := memory.New(clock.System{})
+	author, behind := newSmallLog(store), newSmallLog(store)
+	if _, err := configure(author, "", "a", 1, command.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+	if err := behind.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 40 {
+		if _, err := configure(author, "", "a", 2+n, command.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if e, err := store.Get(t.Context(), "config.log.00000001"); err != nil || e.Exists() {
+		t.Fatalf("the first segment must have been removed: %v, %v", e, err)
+	}
+	if err := behind.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if have, want := behind.State().Version(), author.State().Version(); have != want {
+		t.Errorf("the node has version %d, want %d", have, want)
+	}
+}
