Changelog: an error after an ambiguous write says so

If a write lost its answer and the next attempt ended with an error of the caller's function, that error was returned as it was, as if nothing had changed, although the write could still take effect. It is an AmbiguousError unless the log has moved on since, in which case the write's revision no longer matches.

TestErrorAfterAmbiguousWriteIsAmbiguous fails without the change; tests of changelog, command, placer, planner and operator pass.

--- a/changelog/append.go
+++ b/changelog/append.go
@@ -34,11 +34,12 @@
 // segments already holds a change with that id, Append returns that one and writes
 // nothing.
 //
-// Append fails with prepare's error, with an *AmbiguousError, or with a
-// *pointport.UnavailableError if nothing was changed.
+// Append fails with prepare's error or with a *pointport.UnavailableError if nothing
+// was changed, and otherwise with an *AmbiguousError.
 func (g *Log[S, C]) Append(ctx context.Context, id string, prepare func(S) (C, error)) (C, error) {
 	var none C
 	ambiguous := false
+	var written *tail[S, C] // where the last ambiguous write was made
 	for {
 		t, done, err := g.find(ctx, id)
 		if err != nil {
@@ -52,11 +53,11 @@
 		}
 		c, err := prepare(t.state)
 		if err != nil {
-			return none, err
+			return none, wrapAmbiguous(ambiguous && written.samePosition(t), id, err)
 		}
 		next, err := t.state.Apply(c)
 		if err != nil {
-			return none, err
+			return none, wrapAmbiguous(ambiguous && written.samePosition(t), id, err)
 		}
 		bytes, err := g.write(ctx, t, c)
 		var conflict *pointport.ConflictError
@@ -72,7 +73,7 @@
 			// The next iteration looks for the change. If it is not there,
 			// the retry writes on the same revision, so at most one of the
 			// two writes can succeed, even if the first arrives late.
-			ambiguous = true
+			ambiguous, written = true, t
 		default:
 			return none, wrapAmbiguous(ambiguous, id, err)
 		}
@@ -82,6 +83,12 @@
 	}
 }
 
+// samePosition reports whether t and u are at the same revision of the same segment. A write on t
+// can no longer take effect once the log is elsewhere, because its revision does not match.
+func (t *tail[S, C]) samePosition(u *tail[S, C]) bool {
+	return t.number == u.number && t.revision == u.revision
+}
+
 // A StaleError reports that a log has changed since the version that a decision
 // was based on. Nothing was written.
 type StaleError struct {
--- a/changelog/log_test.go
+++ b/changelog/log_test.go
@@ -219,3 +219,44 @@
 		t.Errorf("the node has version %d, want %d", have, want)
 	}
 }
+
+// Guards against an error that says that nothing was changed although a write may still take effect:
+// a write lost its answer, its change is not in the log, and the change can then not be made a second
+// time. If another change was made meanwhile, the write cannot take effect any more.
+func TestErrorAfterAmbiguousWriteIsAmbiguous(t *testing.T) {
+	errRefused := errors.New("refused")
+	for name, c := range map[string]struct{ other, ambiguous bool }{
+		"log unchanged":        {other: false, ambiguous: true},
+		"another change since": {other: true, ambiguous: false},
+	} {
+		store := memory.New(clock.System{})
+		node := newSmallLog(store)
+		if _, err := configure(node, "", "a", 1, command.AnyVersion); err != nil {
+			t.Fatal(err)
+		}
+		lost := false // whether the write has lost its answer
+		store.SetInjector(func(op, _ string) memory.Fault {
+			if op != "cas" || lost {
+				return memory.FaultNone
+			}
+			lost = true
+			if c.other {
+				if _, err := configure(newSmallLog(store), "", "b", 1, command.AnyVersion); err != nil {
+					t.Error(err)
+				}
+			}
+			return memory.FaultLostCall
+		})
+		attempts := 0
+		_, err := node.Append(t.Context(), "id", func(s *config.State) (config.Change, error) {
+			if attempts++; attempts > 1 {
+				return config.Change{}, errRefused
+			}
+			return config.Change{ID: "id", Version: s.Version() + 1}, nil
+		})
+		var ambiguous *changelog.AmbiguousError
+		if !errors.Is(err, errRefused) || errors.As(err, &ambiguous) != c.ambiguous {
+			t.Errorf("%s: %v, want ambiguous %v", name, err, c.ambiguous)
+		}
+	}
+}
