Member: forget unreadable keys of the roster

The roster kept the revision of each key that could not be decoded for as long as the process ran. It now drops a key that is removed, becomes readable or is no longer listed.

The pool manager's maps that only its loop uses stood below the mutex that the loop does not take for them; they are grouped with the loop's other fields. TestUnreadableKeysAreForgotten fails without the change; tests of member pass.

--- a/member/pool_manager.go
+++ b/member/pool_manager.go
@@ -86,15 +86,17 @@
 	// standbyCheckedAt is when the member last checked whether it is a standby. Only the loop
 	// uses it.
 	standbyCheckedAt time.Time
-
-	mu           sync.Mutex
-	controllers  map[string]T
+	// The following maps are by pool. Only the loop uses them.
 	unownedSince map[string]time.Time // since when a pool has had no owner
 	startedAt    map[string]time.Time // when the controller of a pool was started
 	avoidedUntil map[string]time.Time // until when a pool is left to others because its controller here was unfit
-	// lastFences holds, for each pool, the fence of the last controller started here.
+	// lastFences holds, for each pool, the fence of the last controller started here. No entry is
+	// removed, also not with its pool: see startController.
 	lastFences map[string]pointport.Fence
-	stopped    bool
+
+	mu          sync.Mutex
+	controllers map[string]T
+	stopped     bool
 }
 
 // StartPoolManager returns a pool manager that works until ctx ends. pools returns the names
--- a/member/roster.go
+++ b/member/roster.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -170,9 +171,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members, r.owners = make(map[string]Member), make(map[string]owner)
+	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		r.applyEntry(e)
+		listed[e.Key()] = true
 	}
+	maps.DeleteFunc(r.unreadable, func(key string, _ pointport.Revision) bool { return !listed[key] })
 	r.loaded = true
 	r.notify()
 }
@@ -194,11 +198,15 @@
 // applyEntry applies the state of one key. The lock must be held.
 func (r *Roster) applyEntry(e pointport.Entry) {
 	var m Member
+	var err error
 	if e.Exists() {
-		if err := decodeMember(e, &m); err != nil {
-			r.logUnreadable(e, err)
-			m = Member{}
-		}
+		err = decodeMember(e, &m)
+	}
+	if err != nil {
+		r.logUnreadable(e, err)
+		m = Member{}
+	} else {
+		delete(r.unreadable, e.Key())
 	}
 	if name, ok := strings.CutPrefix(e.Key(), memberPrefix); ok {
 		if e.Exists() && m.Name != "" {
