Stall, remote: name a body that is larger than its limit

A body over the limit was cut without an error, and then failed as invalid JSON or passed for a complete one. Reading it fails with a TooLargeError, also for a list after decompression. TestBodyOverLimitFails and TestTooLargeResponsesAreNamed fail without the change; tests of remote, internal/stall, platform and hedge pass.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -31,6 +31,15 @@
 
 func (e *TimeoutError) Error() string { return fmt.Sprintf("silent for %v", e.After) }
 
+// TooLargeError is the error for a body that is larger than its reader accepts.
+type TooLargeError struct {
+	Limit int64 // in bytes
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the body has more than %d bytes", e.Limit)
+}
+
 // Guard cancels the context of a call when nothing is received for too long.
 type Guard struct {
 	ctx    context.Context
@@ -68,11 +77,12 @@
 	return err
 }
 
-// ReadAll reads at most limit bytes of a response's body, and fails if it pauses for
-// pauseTimeout. It calls onProgress before each read, so first when the response has just
-// begun. If it fails, it returns the data read so far and the error that Cause returns.
+// ReadAll reads a response's body. It fails with a *TooLargeError if the body has more than limit
+// bytes, and if the body pauses for pauseTimeout. It calls onProgress before each read, so first
+// when the response has just begun. If it fails, it returns the data read so far, at most limit
+// bytes, and the error that Cause returns.
 func (g *Guard) ReadAll(body io.Reader, limit int64, pauseTimeout time.Duration, onProgress func()) ([]byte, error) {
-	body = io.LimitReader(body, limit)
+	body = io.LimitReader(body, limit+1)
 	data := make([]byte, 0, initialBufferSize)
 	for {
 		if !g.timer.Reset(pauseTimeout) {
@@ -84,6 +94,9 @@
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
+		if int64(len(data)) > limit {
+			return data[:limit], &TooLargeError{limit}
+		}
 		if err == io.EOF {
 			return data, nil
 		}
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +76,17 @@
 		t.Errorf("%d bytes and %v, want that the deadline is exceeded", n, err)
 	}
 }
+
+// Guards against a body over the limit that is cut without an error, so that its reader takes it for
+// an invalid one, or worse for a complete one.
+func TestBodyOverLimitFails(t *testing.T) {
+	for size, tooLarge := range map[int]bool{9: false, 10: false, 11: true, 2000: true} {
+		g := stall.Start(t.Context(), time.Second)
+		data, err := g.ReadAll(strings.NewReader(strings.Repeat("x", size)), 10, time.Second, func() {})
+		g.Stop()
+		var limit *stall.TooLargeError
+		if errors.As(err, &limit) != tooLarge || len(data) > 10 || !tooLarge && len(data) != size {
+			t.Errorf("%d bytes with a limit of 10: %d bytes and %v, want an error %v", size, len(data), err, tooLarge)
+		}
+	}
+}
--- a/remote/client.go
+++ b/remote/client.go
@@ -150,7 +150,7 @@
 const maxListBytes = 64 << 20
 
 // decompress returns the decompressed body of a response, or data if the response is not
-// compressed.
+// compressed. It fails with a *stall.TooLargeError if there is more than maxListBytes.
 func decompress(res *http.Response, data []byte) ([]byte, error) {
 	if res.Header.Get("Content-Encoding") != "gzip" {
 		return data, nil
@@ -159,7 +159,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(z, maxListBytes))
+	list, err := io.ReadAll(io.LimitReader(z, maxListBytes+1))
+	if err == nil && len(list) > maxListBytes {
+		return nil, &stall.TooLargeError{Limit: maxListBytes}
+	}
+	return list, err
 }
 
 // dialFailed reports whether err occurred before a connection was established.
--- a/remote/client_test.go
+++ b/remote/client_test.go
@@ -1,6 +1,7 @@
 package remote_test
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"net"
@@ -11,6 +12,7 @@
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/clock"
+	"github.com/pointport/pointport/internal/stall"
 	"github.com/pointport/pointport/memory"
 	"github.com/pointport/pointport/remote"
 	"github.com/pointport/pointport/standin"
@@ -124,3 +126,28 @@
 		t.Errorf("got %v, want a NotFoundError", err)
 	}
 }
+
+// Guards against a response that is cut at the client's limit and then reported as invalid JSON.
+func TestTooLargeResponsesAreNamed(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Accept-Encoding") != "gzip" {
+			_, _ = w.Write(make([]byte, 2<<20+1))
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		z := gzip.NewWriter(w)
+		for range 65 {
+			_, _ = z.Write(make([]byte, 1<<20))
+		}
+		_ = z.Close()
+	}))
+	defer srv.Close()
+	c := remote.New(srv.URL)
+	var tooLarge *stall.TooLargeError
+	if _, err := c.CompareAndSwap(t.Context(), "key", 1, nil); !errors.As(err, &tooLarge) {
+		t.Errorf("a body over 2 MiB: %v, want a *TooLargeError", err)
+	}
+	if _, err := c.Instances(t.Context(), "zone-a"); !errors.As(err, &tooLarge) {
+		t.Errorf("a list over 64 MiB: %v, want a *TooLargeError", err)
+	}
+}
