Operator: refuse a job's document over the limit

A document over 1 MiB was cut at the limit. If the cut lay between two steps of a YAML document, the job was submitted without the steps after it. It is refused with status 422. TestTooLargeDocumentIsRefused: status 200 and one of two steps before.

--- a/operator/workloads.go
+++ b/operator/workloads.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxDocument))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxDocument))
 	if err != nil {
 		return nil, &workload.SpecError{Field: "document", Value: "", Reason: err.Error()}
 	}
--- a/operator/workloads_test.go
+++ b/operator/workloads_test.go
@@ -109,3 +109,17 @@
 		t.Errorf("the job service got the spec %+v, want both steps of the document", jobs.spec)
 	}
 }
+
+// Guards against a document that is cut at the limit and submitted with the steps before the cut.
+func TestTooLargeDocumentIsRefused(t *testing.T) {
+	jobs := &fakeJobService{}
+	h := operator.NewWorkloads(jobs, fakeExplainer{}, func() *workload.Catalog {
+		return &workload.Catalog{Queues: []workload.Queue{{Name: "q", Pool: "p"}}}
+	})
+	body := "steps:\n- {count: 1}\n" + strings.Repeat("# comment\n", 1<<17) + "- {count: 2}\n"
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/v1/queues/q/jobs/00000000000000aa", strings.NewReader(body)))
+	if w.Code != http.StatusUnprocessableEntity || jobs.spec != nil {
+		t.Errorf("status %d and body %s, submitted %+v, want status 422 and no job", w.Code, w.Body, jobs.spec)
+	}
+}
