Trace: a long line does not end the reading

A line over 1 MiB ended the reading of its log with an error, so that the lines after it were missing from timelines. It counts as unreadable, and reading goes on. TestLongLineDoesNotEndReading fails without the change; tests of trace and cli pass.

--- a/trace/log.go
+++ b/trace/log.go
@@ -50,24 +50,56 @@
 // Unreadable returns how many lines could not be parsed.
 func (l *Log) Unreadable() int { return l.unreadable }
 
-// Read adds the lines of one process's log. It fails if r fails or if a line is longer
-// than a mebibyte; it counts other lines that it cannot parse.
+// Read adds the lines of one process's log. It fails if r fails; it counts the lines that it cannot
+// parse or that have more than maxLineBytes.
 func (l *Log) Read(r io.Reader) error {
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, maxLineBytes)
-	for in.Scan() {
-		text := strings.TrimSpace(in.Text())
-		if text == "" {
-			continue
+	in := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		text, tooLong, err := readLine(in)
+		if err == io.EOF {
+			return nil
 		}
-		line, err := parseLine(text)
 		if err != nil {
+			return err
+		}
+		if tooLong {
 			l.unreadable++
 			continue
 		}
-		l.lines = append(l.lines, line)
+		l.add(strings.TrimSpace(text))
+	}
+}
+
+// readLine reads a line without its end. It reports whether the line is longer than in's buffer, and
+// returns no text in that case. It fails with io.EOF after the last line.
+func readLine(in *bufio.Reader) (text string, tooLong bool, err error) {
+	data, more, err := in.ReadLine()
+	if err != nil {
+		return "", false, err
+	}
+	if !more {
+		return string(data), false, nil
+	}
+	for more && err == nil {
+		_, more, err = in.ReadLine()
+	}
+	if err == io.EOF {
+		err = nil // the long line is the last one; the next call reports the end
+	}
+	return "", true, err
+}
+
+// add adds the line with the given text, unless the text is empty.
+func (l *Log) add(text string) {
+	if text == "" {
+		return
+	}
+	line, err := parseLine(text)
+	if err != nil {
+		l.unreadable++
+		return
 	}
-	return in.Err()
+	l.lines = append(l.lines, line)
 }
 
 // parseLine parses a line. Text before the first brace is a prefix added by a log
