Queue: keep each class within its bound

When two lower classes reached their bounds in the same turn, the higher one was served and the other skipped once more than its bound allows. If both may be skipped for one more turn, one is served now. TestClassesAreSkippedWithinTheirBounds fails without the change; tests of queue, dispatch and gateway pass.

--- a/queue/fair.go
+++ b/queue/fair.go
@@ -21,7 +21,7 @@
 const classCount = config.Ranks
 
 // maxSkipped is how many turns in a row each class may be skipped. Class 0 has no
-// bound: it is the highest and is skipped only when a lower class reaches its bound.
+// bound: it is the highest and is skipped only when a lower class would exceed its own.
 var maxSkipped = [classCount]int{0, 4, 16}
 
 // An Item is an entry of a Fair queue.
@@ -140,20 +140,31 @@
 	return it
 }
 
-// nextClass returns the class to serve next, or -1 if the queue is empty.
+// nextClass returns the class to serve next, or -1 if the queue is empty. It is the highest class
+// that holds items, unless a lower one has to be served now to be skipped no more than its bound
+// allows. Of two classes that may each be skipped for one more turn, one is served now, since both
+// would reach their bounds in the same turn.
 func (f *Fair[T]) nextClass() int {
-	first := -1
+	first, urgent := -1, -1
+	left := func(c int) int { return maxSkipped[c] - f.classes[c].skipped }
+	nearBound := 0
 	for c := range f.classes {
-		l := &f.classes[c]
-		if len(l.items) == 0 {
+		if len(f.classes[c].items) == 0 {
 			continue
 		}
-		if c > 0 && l.skipped >= maxSkipped[c] {
-			return c
-		}
 		if first < 0 {
 			first = c
 		}
+		if c == 0 || left(c) > 1 {
+			continue
+		}
+		nearBound++
+		if urgent < 0 || left(c) < left(urgent) {
+			urgent = c
+		}
+	}
+	if urgent >= 0 && (left(urgent) <= 0 || nearBound > 1) {
+		return urgent
 	}
 	return first
 }
--- a/queue/fair_test.go
+++ b/queue/fair_test.go
@@ -113,3 +113,37 @@
 		t.Errorf("normal items got %d and bulk items %d of 170 turns, want at least 20 and 8", got[config.Normal], got[config.Bulk])
 	}
 }
+
+// Guards against a class that is skipped more often in a row than its bound allows, because another
+// class reaches its bound in the same turn. Classes are empty at times, so that their turns shift.
+func TestClassesAreSkippedWithinTheirBounds(t *testing.T) {
+	bounds := map[config.Priority]int{config.Normal: 4, config.Bulk: 16}
+	rapid.Check(t, func(t *rapid.T) {
+		var f queue.Fair[config.Priority]
+		waiting, skipped := make(map[config.Priority]int), make(map[config.Priority]int)
+		for range 200 {
+			for _, p := range []config.Priority{config.Urgent, config.Normal, config.Bulk} {
+				if waiting[p] == 0 && rapid.IntRange(0, 9).Draw(t, "arrives") > 0 {
+					f.Push(p, p, "c", 1, 1)
+					waiting[p]++
+				}
+			}
+			it := f.Pop()
+			if it == nil {
+				continue
+			}
+			waiting[it.Value()]--
+			for p, bound := range bounds {
+				switch {
+				case p == it.Value():
+					skipped[p] = 0
+				case waiting[p] > 0:
+					skipped[p]++
+				}
+				if skipped[p] > bound {
+					t.Fatalf("class %s was skipped %d times in a row, want at most %d", p, skipped[p], bound)
+				}
+			}
+		}
+	})
+}
