Share: a grant says its lease duration

A holder applied its own lease duration to the grants of others. If another version has a longer one, its grant would be reused while requests may still run under it. Grants now carry the duration; a grant without one has the default.

The ages of others' grants are steady time, as that of the own lease is; they were taken from the monotonic clock, which only delays reuse after a suspension.

TestGrantWithLongerLeaseExpiresLater fails without the change; tests of share pass.

--- a/share/share.go
+++ b/share/share.go
@@ -57,6 +57,9 @@
 	Beat pointport.Revision `json:"beat"`
 	// Bound is the longest duration of the holder's requests, in nanoseconds.
 	Bound time.Duration `json:"bound"`
+	// TTL is the holder's lease duration, in nanoseconds. Earlier versions do not store it;
+	// theirs is DefaultTTL.
+	TTL time.Duration `json:"ttl,omitempty"`
 }
 
 // document is the stored value of one availability zone, with grants by holder.
@@ -68,7 +71,7 @@
 // seen.
 type observation struct {
 	beat pointport.Revision
-	at   time.Time
+	at   time.Time // by the clock's Steady time
 }
 
 // Key returns the key of a zone's value.
@@ -214,7 +217,7 @@
 
 // observeOthers records which grants of other holders have changed.
 func (h *Holder) observeOthers(doc document) {
-	now := h.clock.Now()
+	now := h.clock.Steady()
 	for name, g := range doc.Grants {
 		if s, ok := h.others[name]; !ok || s.beat != g.Beat {
 			h.others[name] = observation{g.Beat, now}
@@ -228,8 +231,12 @@
 
 // expired reports whether the grant of another holder can no longer be in use.
 func (h *Holder) expired(name string, g grant) bool {
-	unchanged := h.clock.Now().Sub(h.others[name].at)
-	return unchanged > time.Duration(clockSkewFactor*float64(h.ttl+g.Bound))
+	unchanged := h.clock.Steady().Sub(h.others[name].at)
+	ttl := g.TTL
+	if ttl == 0 {
+		ttl = DefaultTTL
+	}
+	return unchanged > time.Duration(clockSkewFactor*float64(ttl+g.Bound))
 }
 
 // next returns the size of this holder's next grant: as much as it wants and is
@@ -254,7 +261,7 @@
 	if next == 0 {
 		delete(doc.Grants, h.name)
 	} else {
-		doc.Grants[h.name] = grant{next, e.Revision(), bound}
+		doc.Grants[h.name] = grant{next, e.Revision(), bound, h.ttl}
 	}
 	data, err := json.Marshal(doc)
 	if err != nil {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -219,3 +219,30 @@
 		t.Errorf("got %d after renewal, want %d", got, elastic)
 	}
 }
+
+// Guards against a grant that is reused while its holder may still use it, because the holder's lease
+// is longer than that of the one that reuses it, as while two versions run side by side.
+func TestGrantWithLongerLeaseExpiresLater(t *testing.T) {
+	const longTTL = 4 * ttl
+	c := clock.NewFake(time.Unix(0, 0))
+	store := memory.New(c)
+	unused := func() int { return 0 }
+	a := share.New(store, c, "zone-a", "a", elastic, unused, share.WithTTL(longTTL), share.WithMaxRequestTime(bound))
+	b := newMember(store, c, "b")
+	if err := a.Reconcile(t.Context(), elastic); err != nil {
+		t.Fatal(err)
+	}
+	for at := time.Duration(0); at < 2*(longTTL+bound); at += 5 * time.Second {
+		if err := b.holder.Reconcile(t.Context(), elastic); err != nil {
+			t.Fatal(err)
+		}
+		got := b.holder.ElasticLimit()
+		if got != 0 && at <= longTTL+bound {
+			t.Fatalf("b got %d after %v, while a's requests may still run", got, at)
+		}
+		c.Advance(5 * time.Second)
+	}
+	if got := b.holder.ElasticLimit(); got != elastic {
+		t.Errorf("b has %d long after a's grant expired, want %d", got, elastic)
+	}
+}
