Claim: count every refusal, refuse at once after the stop

A claim refused because too many wait was in no count, and one made after the claimer had stopped waited until its caller's deadline. Both results now go through the same count, and a stopped batcher refuses.

TestEveryClaimIsCounted (4096 of 5000 counted before) and TestClaimAfterStopIsRefused (1 min before) fail without the change; tests of claim pass.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -173,18 +173,11 @@
 func (c *Claimer) Claim(ctx context.Context, key Key) (Ticket, error) {
 	b := c.batcherOf(key)
 	p := &pending{key: key, done: make(chan error, 1)}
-	if !b.enqueue(p) {
-		return Ticket{}, &pointport.UnavailableError{Op: "claim", Err: errQueueFull}
-	}
-	var err error
-	select {
-	case err = <-p.done:
-	case <-ctx.Done():
-		if !p.abandon() {
-			err = <-p.done
-			break
-		}
-		err = &pointport.UnavailableError{Op: "claim", Err: ctx.Err()}
+	err := b.enqueue(p)
+	if err == nil {
+		err = p.wait(ctx)
+	} else {
+		err = &pointport.UnavailableError{Op: "claim", Err: err}
 	}
 	c.countResult(err)
 	if err != nil {
@@ -224,6 +217,20 @@
 	abandoned bool
 }
 
+// wait returns the result of the claim. If ctx ends first, it abandons the claim and returns a
+// *pointport.UnavailableError.
+func (p *pending) wait(ctx context.Context) error {
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+	}
+	if !p.abandon() {
+		return <-p.done
+	}
+	return &pointport.UnavailableError{Op: "claim", Err: ctx.Err()}
+}
+
 // answer delivers the result of the claim, unless it already has one. It reports
 // whether the caller still waits or has received a result; false means that the
 // caller abandoned the claim.
@@ -258,22 +265,26 @@
 	mu       sync.Mutex
 	waiting  []*pending
 	outcomes []record
+	stopped  bool // whether run has ended, so that no batch is written any more
 
 	// abandoned maps digests to tokens, for the writes that failed with an unknown
 	// effect. If their claims appear in the partition later, they are released.
 	abandoned map[uint64]string
 }
 
-// enqueue adds a claim to the next batches. It reports false if too many wait.
-func (b *batcher) enqueue(p *pending) bool {
+// enqueue adds a claim to the next batches. It fails with errQueueFull or errClosed.
+func (b *batcher) enqueue(p *pending) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return errClosed
+	}
 	if len(b.waiting) >= maxPending {
-		return false
+		return errQueueFull
 	}
 	b.waiting = append(b.waiting, p)
 	b.signal()
-	return true
+	return nil
 }
 
 // addOutcome adds an outcome to the next batch.
@@ -426,10 +437,11 @@
 	}
 }
 
-// refuseWaiting refuses the claims that still wait when the Claimer stops.
+// refuseWaiting refuses the claims that still wait when the Claimer stops, and all later ones.
 func (b *batcher) refuseWaiting() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.stopped = true
 	for _, p := range b.waiting {
 		p.answer(&pointport.UnavailableError{Op: "claim", Err: errClosed})
 	}
--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -428,3 +428,48 @@
 		}
 	})
 }
+
+// Guards against claims that are refused because too many wait and are in no count, so that an overload
+// does not show in the metrics.
+func TestEveryClaimIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New(clock.System{})
+		store.SetInjector(func(string, string) memory.Fault {
+			time.Sleep(time.Second)
+			return memory.FaultDown
+		})
+		claimer := claim.Start(t.Context(), store, clock.System{}, "a")
+		const calls = 5000 // more than may wait and be written at once
+		var wg sync.WaitGroup
+		for n := range calls {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				_, _ = claimer.Claim(ctx, key(n))
+			})
+		}
+		wg.Wait()
+		if c := claimer.Counts(); c.Failed != calls {
+			t.Errorf("%d of %d refused claims are counted", c.Failed, calls)
+		}
+	})
+}
+
+// Guards against a claim that is made after its claimer has stopped and waits until its caller's
+// deadline.
+func TestClaimAfterStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		claimer := claim.Start(ctx, memory.New(clock.System{}), clock.System{}, "a")
+		stop()
+		synctest.Wait()
+		from := time.Now()
+		caller, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := claimer.Claim(caller, key(1))
+		var unavailable *pointport.UnavailableError
+		if !errors.As(err, &unavailable) || time.Since(from) > 0 {
+			t.Errorf("%v after %v, want an *UnavailableError at once", err, time.Since(from))
+		}
+	})
+}
