Gateway: an undelivered answer is not counted as answered

The error of writing a buffered answer to its caller was ignored, and the request counted as answered. It counts as cut short and the caller's connection is broken, as with an answer that is forwarded while it arrives. TestUndeliveredAnswerIsNotCountedAsAnswered fails without the change; tests of gateway pass.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"sigs.k8s.io/yaml"
 
 	"github.com/pointport/pointport/claim"
@@ -444,3 +446,52 @@
 		t.Errorf("got %+v after %d requests, want a refusal after 1", got, leaving.count())
 	}
 }
+
+// A brokenWriter is a caller's connection on which no body can be written.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against an answer that did not reach its caller and counts as answered, because the gateway
+// had buffered all of it.
+func TestUndeliveredAnswerIsNotCountedAsAnswered(t *testing.T) {
+	for _, step := range []string{"answer", "chunked"} { // buffered, and forwarded as it arrives
+		s := &script{release: make(chan struct{}), steps: []string{step}}
+		registry := prometheus.NewRegistry()
+		g := serveGateway(t, gateway.New(clock.System{}, nil, gateway.WithRegistry(registry)), memory.New(clock.System{}), "30s", serveScript(t, s))
+		aborted := func() (aborted bool) {
+			defer func() { aborted = recover() == http.ErrAbortHandler }()
+			g.gateway.ServeHTTP(brokenWriter{httptest.NewRecorder()}, httptest.NewRequest(http.MethodGet, "http://a/repeatable", nil))
+			return false
+		}()
+		if !aborted {
+			t.Errorf("%s: the caller's connection was not broken", step)
+		}
+		if got := requestsByOutcome(t, registry); got["answered"] != 0 || got["cut-short"] != 1 {
+			t.Errorf("%s: requests by outcome are %v, want one cut-short", step, got)
+		}
+	}
+}
+
+// requestsByOutcome returns the number of requests by outcome.
+func requestsByOutcome(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]float64)
+	for _, f := range families {
+		if f.GetName() != "pointport_requests_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetName() == "outcome" {
+					out[l.GetValue()] += m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return out
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -318,19 +318,19 @@
 }
 
 // relay forwards an upstream's answer to the caller. If the answer is cut short after
-// some of it was forwarded, it breaks the caller's connection by a panic with
-// http.ErrAbortHandler, so that the answer does not look complete.
+// some of it was forwarded, or cannot be written to the caller, it breaks the caller's
+// connection by a panic with http.ErrAbortHandler, so that the answer does not look
+// complete.
 func (g *Gateway) relay(w http.ResponseWriter, x *exchange, a *attempt) outcome {
 	if a.err != nil || a.unframed() && !x.match.Route().AllowUnframed {
 		return g.refuseBrokenAnswer(w, x, a)
 	}
 	a.relayHead(w)
 	err := a.relayBody(w)
-	if a.complete {
-		return outcomeAnswered
-	}
 	var callerErr *callerError
 	switch {
+	case err == nil && a.complete:
+		return outcomeAnswered // the grant has ended
 	case err == nil:
 		a.grant.End(a.outcome(x.in.Context()), 0)
 		return outcomeAnswered
