Query: read the logs of other zones

A node does not follow the logs of jobs of other zones. Waiting for such a job ended only with the caller's deadline and returned its state at the beginning; lists and the status left those jobs out. The wait reads the log each second, a list reads the logs first and fails if it cannot, and the status reads them for 0.5 s at most. TestWaitForJobOfOtherZone and TestListsHaveJobsOfOtherZones fail without the change; tests of operator, query, cli and daemon pass.

--- a/operator/api.go
+++ b/operator/api.go
@@ -241,7 +241,9 @@
 	return command.Configure(c.Request().Context(), a.source.Config, a.clock, p)
 }
 
-func (a *API) status(iris.Context) (any, error) { return a.source.Status(), nil }
+func (a *API) status(c iris.Context) (any, error) {
+	return a.source.Status(c.Request().Context()), nil
+}
 
 func (a *API) audit(c iris.Context) (any, error) {
 	f := query.Filter{Author: c.URLParam("author"), Object: c.URLParam("object"), Limit: c.URLParamIntDefault("limit", 0)}
@@ -301,7 +303,7 @@
 }
 
 func (a *API) jobs(c iris.Context) (any, error) {
-	return a.source.ListJobs(c.URLParam("customer")), nil
+	return a.source.ListJobs(c.Request().Context(), c.URLParam("customer"))
 }
 
 func (a *API) job(c iris.Context) (any, error) {
--- a/query/query.go
+++ b/query/query.go
@@ -34,6 +34,15 @@
 	Status() []dispatch.Status
 }
 
+const (
+	// pollInterval is how often the log of another zone, which is not followed, is read while a
+	// job in it is awaited.
+	pollInterval = time.Second
+	// statusReadTimeout bounds how long a status waits for the logs of other zones. During an
+	// outage of the store it has their jobs as last read.
+	statusReadTimeout = 500 * time.Millisecond
+)
+
 // A Source answers queries from the state that a node has.
 type Source struct {
 	Node      string
@@ -70,8 +79,12 @@
 	Services      []dispatch.Status `json:"services"`
 }
 
-// Status returns the status of the whole system, as this node sees it.
-func (s *Source) Status() Status {
+// Status returns the status of the whole system, as this node sees it. The jobs of zones whose log
+// cannot be read are as they were last read.
+func (s *Source) Status(ctx context.Context) Status {
+	ctx, cancel := context.WithTimeout(ctx, statusReadTimeout)
+	defer cancel()
+	_ = s.refreshOtherJobs(ctx) // the status must be available during an outage as well
 	cfg := s.Config.State()
 	st := Status{
 		Node: s.Node, Zone: s.Zone, ConfigVersion: cfg.Version(), ConfigHeard: s.Config.LastAnswer(),
@@ -133,15 +146,33 @@
 		}
 		select {
 		case <-changed:
+		case <-s.Clock.After(pollInterval): // the log of another zone is not followed
 		case <-ctx.Done():
 			return j, nil
 		}
 	}
 }
 
+// refreshOtherJobs reads the logs of the jobs of other zones, which this node does not follow.
+func (s *Source) refreshOtherJobs(ctx context.Context) error {
+	for _, zone := range s.Zones {
+		if zone == s.Zone {
+			continue
+		}
+		if err := s.Jobs[zone].Refresh(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ListJobs returns the customer's jobs in all zones, the oldest submission first.
-// If customer is empty, it returns the jobs of all customers.
-func (s *Source) ListJobs(customer string) []job.Job {
+// If customer is empty, it returns the jobs of all customers. It fails if the jobs
+// of another zone cannot be read.
+func (s *Source) ListJobs(ctx context.Context, customer string) ([]job.Job, error) {
+	if err := s.refreshOtherJobs(ctx); err != nil {
+		return nil, err
+	}
 	out := []job.Job{}
 	for _, zone := range s.Zones {
 		for _, j := range s.Jobs[zone].State().Jobs() {
@@ -151,7 +182,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b job.Job) int { return a.Submitted.Compare(b.Submitted) })
-	return out
+	return out, nil
 }
 
 // Explain explains the state of an instance, a pool, a wave or a job, once for
