Daemon: release leased connections when an entry instance ends

At its end an entry instance asks for no connections any more, but a grant is not returned while connections that it covers are open, and idle ones were. Others could use its part only after the lease and the longest request. Idle connections are closed before the release.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -68,21 +69,25 @@
 
 // startEntry starts an entry instance on free local ports.
 func startEntry(t *testing.T, platform, name string, more ...string) *Entry {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	e := startEntryUntil(ctx, t, platform, name, more...)
+	t.Cleanup(func() { e.Stop(context.Background()) }) // runs before cancel
+	return e
+}
+
+// startEntryUntil starts an entry instance as startEntry does; it ends when ctx does.
+func startEntryUntil(ctx context.Context, t *testing.T, platform, name string, more ...string) *Entry {
 	t.Helper()
 	args := append([]string{
 		"-platform=" + platform, "-name=" + name, "-refresh=100ms", "-stop-notice=0s",
 		"-callers=127.0.0.1:0", "-operators=127.0.0.1:0", "-metrics=127.0.0.1:0",
 	}, more...)
-	ctx, cancel := context.WithCancel(context.Background())
 	e, err := Start(ctx, loadSettings(t, args...), slog.New(slog.DiscardHandler))
 	if err != nil {
-		cancel()
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		e.Stop(context.Background())
-		cancel()
-	})
 	return e
 }
 
@@ -209,6 +214,12 @@
 
 // runJob submits a job and waits until it is done.
 func runJob(t *testing.T, e *Entry) {
+	t.Helper()
+	awaitJob(t, e, submitJob(t, e).ID)
+}
+
+// submitJob submits a job.
+func submitJob(t *testing.T, e *Entry) job.Job {
 	t.Helper()
 	client := operator.NewClient(e.Address("operators"))
 	s := command.Submission{
@@ -219,8 +230,15 @@
 	if err := client.Call(context.Background(), http.MethodPost, "/v1/jobs", nil, s, &j); err != nil {
 		t.Fatal(err)
 	}
+	return j
+}
+
+// awaitJob waits until a job is done.
+func awaitJob(t *testing.T, e *Entry, id string) {
+	t.Helper()
+	var j job.Job
 	q := url.Values{"wait": {waitTimeout.String()}}
-	if err := client.Call(context.Background(), http.MethodGet, "/v1/jobs/"+j.ID, q, nil, &j); err != nil {
+	if err := operator.NewClient(e.Address("operators")).Call(context.Background(), http.MethodGet, "/v1/jobs/"+id, q, nil, &j); err != nil {
 		t.Fatal(err)
 	}
 	if j.Phase != job.Done || j.Result == "" {
@@ -289,8 +307,9 @@
 
 // TestEvacuationRefusesRequests evacuates the only availability zone through the
 // operators' API of one entry instance and reopens it. Meanwhile the other entry
-// instance must refuse requests as not run. The audit trail must have both
-// changes. The evacuation of a zone that does not exist must be refused.
+// instance must refuse requests as not run, with a time to retry after, and a job
+// must wait until the zone is open. The audit trail must have both changes. The
+// evacuation of a zone that does not exist must be refused.
 func TestEvacuationRefusesRequests(t *testing.T) {
 	_, _, platform := startPlatform(t)
 	a, b := startEntry(t, platform, "a"), startEntry(t, platform, "b")
@@ -313,12 +332,32 @@
 	if status, ran, body := request(t, b, http.MethodPost, "/payout", "tip-9"); status != http.StatusServiceUnavailable || ran != "no" {
 		t.Errorf("a payout while the only zone is evacuated: status %d, Pointport-Ran %q, want 503 and \"no\": %s", status, ran, body)
 	}
+	res, err := http.Get(b.Address("callers") + "/shift/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if after, err := strconv.Atoi(res.Header.Get("Retry-After")); err != nil || after < 1 {
+		t.Errorf("Retry-After of a refusal is %q, want at least a second", res.Header.Get("Retry-After"))
+	}
+	waiting := submitJob(t, b)
 	client := operator.NewClient(a.Address("operators"))
+	waitUntil(t, "the job waits for the evacuation to end", func() bool {
+		var j job.Job
+		if err := client.Call(context.Background(), http.MethodGet, "/v1/jobs/"+waiting.ID, nil, nil, &j); err != nil {
+			t.Fatal(err)
+		}
+		if j.Phase != job.Waiting {
+			t.Fatalf("in the evacuated zone the job is %+v", j)
+		}
+		return j.Reason == "its availability zone is evacuated"
+	})
 	q := url.Values{"author": {"ana"}, "reason": {"cooling is back"}}
 	if err := client.Call(context.Background(), http.MethodDelete, "/v1/config/Evacuation/zone-a", q, nil, nil); err != nil {
 		t.Fatal(err)
 	}
 	waitUntil(t, "requests are served again", served)
+	awaitJob(t, b, waiting.ID)
 	var list []query.Entry
 	if err := client.Call(context.Background(), http.MethodGet, "/v1/audit", nil, nil, &list); err != nil {
 		t.Fatal(err)
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -76,7 +76,9 @@
 	}
 	releaseCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	for _, h := range s.holders {
+	for zone, h := range s.holders {
+		// A grant is not released while connections that it covers are open.
+		s.entry.gateway.CloseIdle(zone)
 		// A grant that cannot be released expires by itself.
 		_ = h.Reconcile(releaseCtx, 0)
 	}
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -11,6 +11,8 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/clock"
 	"github.com/pointport/pointport/memory"
+	"github.com/pointport/pointport/remote"
+	"github.com/pointport/pointport/share"
 	"github.com/pointport/pointport/standin"
 )
 
@@ -129,11 +131,12 @@
 // TestOneEntryLeasesConnectionsToOtherZones sends all requests to one entry
 // instance, as a load balancer may do. The upstreams of its own zone are
 // saturated, and it has no fixed connections to those of the other zone, so it
-// must lease connections to them.
+// must lease connections to them. It must return the lease when it ends.
 func TestOneEntryLeasesConnectionsToOtherZones(t *testing.T) {
 	_, platform := startZones(t, "zone-a", "zone-b")
 	zones := "-zones=zone-a,zone-b"
-	a := startEntry(t, platform, "a", zones)
+	ctx, cancel := context.WithCancel(t.Context())
+	a := startEntryUntil(ctx, t, platform, "a", zones)
 	startEntry(t, platform, "b", zones, "-zone=zone-b")
 	if err := putConfig(t, a, "0", "kind: Template\nname: shift\nroutes: [{pathPrefix: /shift, repeatable: true}]\npool: {size: 4}\nupstream: {slots: 1}\n"); err != nil {
 		t.Fatal(err)
@@ -156,4 +159,14 @@
 		return served == 2
 	})
 	wg.Wait()
+	a.Stop(t.Context())
+	cancel()
+	store := remote.New(platform)
+	waitUntil(t, "the lease is returned", func() bool {
+		e, err := store.Get(t.Context(), share.Key("zone-b"))
+		if err != nil || !e.Exists() {
+			t.Fatalf("the leases of zone-b: %v, %v, want a value", e, err)
+		}
+		return string(e.Value()) == `{"grants":{}}`
+	})
 }
