--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -127,7 +127,15 @@
 // heals.
 func TestOwnerWithoutAnswersHandsItsPoolOver(t *testing.T) {
 	const permanent, takenOverWithin = time.Minute, 20 * time.Second
-	muteBusyInstances(t, permanent, func(node, owner string) bool { return node == owner }, takenOverWithin, func(c *cluster) { c.silencePeers(true) })
+	muteBusyInstances(t, permanent, func(node, owner string) bool { return node == owner }, takenOverWithin, func(c *cluster) {
+		c.silencePeers(true)
+		former := c.owner("shift")
+		time.AfterFunc(takenOverWithin, func() {
+			if owner, owned := c.ownerIfAny("shift"); !owned || owner == former {
+				c.t.Errorf("after %v the pool belongs to %q, want another member than %s", takenOverWithin, owner, former)
+			}
+		})
+	})
 }
 
 // The registrations of instances that answer no node expire. Before their absence has lasted
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -27,7 +27,10 @@
 	calls     int
 	commands  int // calls that change an instance
 	failAt    int // the first call that fails, as do all after it; zero for none
-	reboots   map[pointport.InstanceID]int
+	lostAt    int // the call of a command that fails and takes effect; zero for none
+	// firstFailedIsCommand reports whether the first call that failed was a command.
+	firstFailedIsCommand bool
+	reboots              map[pointport.InstanceID]int
 }
 
 var errFleet = errors.New("the platform is unavailable")
@@ -77,13 +80,17 @@
 
 func (f *fakeFleet) command(id pointport.InstanceID, boots int64, act func(*pointport.Instance)) error {
 	f.commands++
-	if err := f.call(); err != nil {
+	err := f.call()
+	if err != nil && f.calls == f.failAt {
+		f.firstFailedIsCommand = true
+	}
+	if err != nil && f.calls != f.lostAt {
 		return err
 	}
 	if i := f.instances[id]; i.Boots == boots && i.State != pointport.InstanceDown {
 		act(i)
 	}
-	return nil
+	return err
 }
 
 func (f *fakeFleet) Drain(_ context.Context, id pointport.InstanceID, boots int64) error {
@@ -245,6 +252,44 @@
 	}
 }
 
+// TestPlannerCrashesAtAnyPlatformCall stops the planner at each of its calls to the platform, with or
+// without effect, and lets another planner continue.
+func TestPlannerCrashesAtAnyPlatformCall(t *testing.T) {
+	commands := 0 // how many of the calls at which the planner was stopped were commands
+	for _, effect := range []bool{false, true} {
+		for at := 1; at < 60; at++ {
+			s := newFixture(t, 4)
+			s.fleet.calls, s.fleet.failAt = 0, at
+			if effect {
+				s.fleet.lostAt = at
+			}
+			s.store.SetInjector(func(string, string) memory.Fault {
+				if s.fleet.calls >= at {
+					return memory.FaultDown
+				}
+				return memory.FaultNone
+			})
+			first := s.planner()
+			for s.fleet.calls < at {
+				_ = first.Round(t.Context())
+				s.clock.Advance(time.Second)
+			}
+			if s.fleet.firstFailedIsCommand {
+				commands++
+			}
+			s.fleet.failAt, s.fleet.lostAt = 0, 0
+			s.store.SetInjector(func(string, string) memory.Fault { return memory.FaultNone })
+			if w := s.run(t, s.planner()); w.Done != 4 {
+				t.Fatalf("crashed at call %d, effect %v: the wave ended as %+v", at, effect, w)
+			}
+			s.checkOnce(t)
+		}
+	}
+	if commands < 2*8 { // each of four instances is drained and rebooted
+		t.Errorf("the planner was stopped at %d commands, want 16 at least", commands)
+	}
+}
+
 // TestPlatformFailsAtAnyCall makes the calls to the platform fail from each call
 // on, and then succeed again.
 func TestPlatformFailsAtAnyCall(t *testing.T) {
@@ -429,9 +474,8 @@
 	}
 }
 
-// TestRackLostWhileNeighbourDrains loses two instances, as if a rack failed, while two
-// others drain. Drains that have begun continue, and none begins until enough of the pool
-// works again.
+// TestRackLostWhileNeighbourDrains loses a whole rack while instances of the next one drain.
+// Drains that have begun continue, and none begins until enough of the pool works again.
 func TestRackLostWhileNeighbourDrains(t *testing.T) {
 	s := newFixture(t, 12)
 	p := s.planner()
@@ -453,15 +497,34 @@
 	if len(begun) != budget {
 		t.Fatalf("%d instances drain, want %d", len(begun), budget)
 	}
+	affected := make(map[string]bool) // racks with an instance that drains
+	for id := range begun {
+		affected[s.fleet.instances[id].Rack] = true
+	}
 	lost := []pointport.InstanceID{}
+	rack := ""
 	for _, id := range s.fleet.order {
-		if !begun[id] && len(lost) < 2 {
+		i := s.fleet.instances[id]
+		if rack == "" && !affected[i.Rack] {
+			rack = i.Rack
+		}
+		if i.Rack == rack {
 			lost = append(lost, id)
-			s.fleet.instances[id].State = pointport.InstanceDown
+			i.State = pointport.InstanceDown
 			s.fleet.dead[id] = true
 		}
 	}
-	round(300)
+	if len(lost) != 2 {
+		t.Fatalf("rack %q has %d instances, want 2", rack, len(lost))
+	}
+	for range 300 {
+		round(1)
+		for id, i := range s.fleet.instances {
+			if i.State == pointport.InstanceLeaving && !begun[id] {
+				t.Fatalf("%s began to drain while the rack is lost", id)
+			}
+		}
+	}
 	for _, id := range s.fleet.order {
 		want := 0
 		if begun[id] {
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// TestBegunJobsGoBeforeFreshOnes checks that a job that has begun and can end in time is placed
+// before a fresh one, even if the fresh one has an earlier deadline.
+func TestBegunJobsGoBeforeFreshOnes(t *testing.T) {
+	s := newTestScheduler()
+	registerIdle(s, start, incarnation(0))
+	whole, second := step(1, 4000, nil), step(1, 4000, func(st *workload.Step) { st.After = []int{0} })
+	patient, hasty := policy, policy
+	patient.Target, hasty.Target = time.Minute, 10*time.Second
+	s.Add(start, job("begun", patient, whole, second))
+	first := orders(s, start)
+	if len(first) != 1 {
+		t.Fatalf("orders %+v, want the start of the first step", first)
+	}
+	s.OrderAnswered(first[0], start, 1, nil)
+	s.Add(start, job("fresh", hasty, whole))
+	done := start.Add(time.Second)
+	s.Report(first[0].Worker, done, done, pointport.Report{Clock: pointport.InstanceTime(time.Second), Ended: []pointport.TaskEnd{{
+		Number: 1, TaskRun: first[0].TaskRun, Kind: pointport.EndDone,
+	}}})
+	got := orders(s, done)
+	if len(got) != 1 || got[0].TaskRun.Task != "begun.0.1.0" {
+		t.Errorf("orders %+v, want only the start of the second step of the job that has begun", got)
+	}
+}
+
 // TestUrgentJobPreemptsOthers checks that a job of priority 0 that finds no free capacity has
 // tasks of a lower priority stopped.
 func TestUrgentJobPreemptsOthers(t *testing.T) {
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -152,24 +152,27 @@
 	}
 }
 
-// The error for an invalid spec must name the field that is wrong.
+// The error for an invalid spec must name the field that is wrong, and its value.
 func TestSpecErrorsNameTheField(t *testing.T) {
 	cases := []struct {
 		spec  workload.Spec
 		field string
+		value any
 	}{
-		{workload.Spec{}, "steps"},
-		{workload.Spec{Steps: []workload.Step{{Count: 0}}}, "steps[0].count"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: -1}}}}, "steps[0].need"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1}, {Count: 1, After: []int{1}}}}, "steps[1].after"},
-		{workload.Spec{Steps: []workload.Step{{Count: 5000}}}, "steps"},
-		{workload.Spec{Payload: string(make([]byte, 4001)), Steps: []workload.Step{{Count: 1}}}, "payload"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: -1}}, "recur.times"},
+		{workload.Spec{}, "steps", 0},
+		{workload.Spec{Steps: []workload.Step{{Count: 0}}}, "steps[0].count", 0},
+		{workload.Spec{Steps: []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: -1}}}}, "steps[0].need", pointport.Shape{CPUMilli: -1}},
+		{workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: -2}}}, "steps[0].estimate", time.Duration(-2)},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}, {Count: 1, After: []int{1}}}}, "steps[1].after", 1},
+		{workload.Spec{Steps: []workload.Step{{Count: 5000}}}, "steps", 1},
+		{workload.Spec{Payload: string(make([]byte, 4001)), Steps: []workload.Step{{Count: 1}}}, "payload", 4001},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: -1}}, "recur.times", -1},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Every: -3}}, "recur.every", time.Duration(-3)},
 	}
 	for _, c := range cases {
 		var bad *workload.SpecError
-		if err := c.spec.Check(); !errors.As(err, &bad) || bad.Field != c.field {
-			t.Errorf("%+v: error is %v, want one about %s", c.spec, err, c.field)
+		if err := c.spec.Check(); !errors.As(err, &bad) || bad.Field != c.field || bad.Value != c.value {
+			t.Errorf("%+v: error is %v, want one about %s with value %v", c.spec, err, c.field, c.value)
 		}
 	}
 }
