--- a/testbed/crash.go
+++ b/testbed/crash.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+
+	"github.com/pointport/pointport"
 )
 
-// This file defines tasks that crash the instance that starts them.
+// This file defines tasks that crash the instance that starts them, and injected crashes.
 
 const (
 	// crashDelay is how long after its start a task crashes its instance, and crashDowntime is how
@@ -53,3 +56,38 @@
 	defer f.mu.Unlock()
 	return f.crashes[task]
 }
+
+// Crash ends a machine's current incarnation. A new one begins after down, or never if down is
+// zero.
+func (f *Fleet) Crash(id pointport.InstanceID, down time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[id]; m != nil && m.current != nil {
+		for task := range m.current.runs {
+			f.lostToInjectedCrash[task] = true
+		}
+		f.crash(m, down)
+	}
+}
+
+// LostRunToInjectedCrash reports whether a task of a job was running on an instance when Crash was
+// called for it. Crashes that tasks cause do not count.
+func (f *Fleet) LostRunToInjectedCrash(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task := range f.lostToInjectedCrash {
+		if strings.HasPrefix(task, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends a machine's current incarnation as Crash does. The lock is held.
+func (f *Fleet) crash(m *Machine, down time.Duration) {
+	f.endIncarnation(m)
+	m.state = pointport.MachineDown
+	if down > 0 {
+		f.bootLater(m, down)
+	}
+}
