Name the interval between holders as elsewhere

Testbed and soak called it holderTime; the rest of the code says MinHolderInterval. The field HolderTime of platform.Settings keeps its name, because it leaves the process in a log line.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,8 +42,8 @@
 	settleTime = 45 * time.Second
 	// startTimeout is how long processes may take until they are ready.
 	startTimeout = 10 * time.Second
-	// holderTime is the minimum time between orders of two different holders for one machine.
-	holderTime = 3 * time.Second
+	// minHolderInterval is the minimum time between orders of two different holders for one machine.
+	minHolderInterval = 3 * time.Second
 )
 
 func TestMain(m *testing.M) {
@@ -107,7 +107,7 @@
 	s := &soak{jobs: &jobs{byJobID: make(map[string]*submission)}, began: time.Now(), links: make(map[pointport.InstanceID]*proxy)}
 	t.Cleanup(s.closeLinks)
 	g, err := grid.Start(clock.System{}, grid.Settings{
-		Pools: []string{"shift", "payout"}, PerPool: 4, Zones: soakZones, Host: host, MinHolderInterval: holderTime,
+		Pools: []string{"shift", "payout"}, PerPool: 4, Zones: soakZones, Host: host, MinHolderInterval: minHolderInterval,
 		Capacity: soakCapacity, Work: s.jobs.workOf, Customers: soakCustomers(), Keys: soakKeys(), AdvertisedAddress: s.addLink,
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/testbed/machines.go
+++ b/testbed/machines.go
@@ -20,8 +20,10 @@
 var _ pointport.Machines = (*Machines)(nil)
 
 // Machines returns the fleet as pointport.Machines. Two holders that order one machine less than
-// holderTime apart are a violation.
-func (f *Fleet) Machines(holderTime time.Duration) *Machines { return &Machines{f, holderTime} }
+// minHolderInterval apart are a violation.
+func (f *Fleet) Machines(minHolderInterval time.Duration) *Machines {
+	return &Machines{f, minHolderInterval}
+}
 
 // List returns all machines, sorted by ID.
 func (m *Machines) List(context.Context) ([]pointport.Machine, error) {
