Gateway: accept a Request-Timeout beyond all durations

Seconds were converted without a bound: from 292 years on the result wrapped around, and the request was refused because its timeout was not positive. The route's timeout applies, as with any longer one. TestLongTimeoutIsAccepted: status 400 before. Tests of gateway pass.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -495,3 +495,19 @@
 	}
 	return out
 }
+
+// Guards against a Request-Timeout that overflows as a duration and is refused as negative. The route's
+// timeout is shorter, so it applies.
+func TestLongTimeoutIsAccepted(t *testing.T) {
+	g := newTestGateway(t, "30s", serveScript(t, &script{release: make(chan struct{})}))
+	for value, want := range map[string]int{"1e30": 200, "9300000000": 200, "+Inf": 200, "NaN": 400, "-1e30": 400} {
+		req, err := http.NewRequest(http.MethodGet, g.url+"/repeatable", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Request-Timeout", value)
+		if got := send(t, req); got.status != want {
+			t.Errorf("Request-Timeout %s: status %d, want %d", value, got.status, want)
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -136,7 +136,8 @@
 	if v := r.Header.Get(HeaderTimeout); v != "" {
 		d, err := time.ParseDuration(v)
 		if seconds, nerr := strconv.ParseFloat(v, 64); nerr == nil {
-			d, err = time.Duration(seconds*float64(time.Second)), nil
+			// A longer timeout than the route's has no effect, and might overflow.
+			d, err = time.Duration(min(seconds*float64(time.Second), float64(limit))), nil
 		}
 		if err != nil || d <= 0 {
 			return badHeader(HeaderTimeout, truncate(v), "must be a positive duration such as \"2.5s\", or seconds")
