--- a/workload/spec.go
+++ b/workload/spec.go
@@ -18,6 +18,12 @@
 	// MaxPayload is the greatest length of a job's payload, in bytes. The platform
 	// defines it.
 	MaxPayload = 4000
+	// maxYear is the last year of which JSON can encode a time.
+	maxYear = 9999
+	// maxNeed is the largest need of a task in each unit: a million cores, or a petabyte of
+	// memory. No instance has more, and sums over the tasks of a pool stay far below the
+	// range of an int64.
+	maxNeed = 1_000_000_000
 )
 
 // IDDigits is the number of hexadecimal digits of a job ID.
@@ -122,14 +128,15 @@
 	return s.Recur.First.Add(time.Duration(k) * s.Recur.Every)
 }
 
-// tasks returns the number of tasks of an occurrence. It stops counting once there are
-// more than MaxTasks.
+// tasks returns the number of tasks of an occurrence, or MaxTasks + 1 if there are more than
+// MaxTasks.
 func (s *Spec) tasks() int {
 	n := 0
 	for i := range s.Steps {
-		if n += s.Steps[i].Count; n > MaxTasks {
-			return n
+		if s.Steps[i].Count > MaxTasks-n { // the sum might overflow
+			return MaxTasks + 1
 		}
+		n += s.Steps[i].Count
 	}
 	return n
 }
@@ -168,6 +175,9 @@
 	if s.Recur.Every < 0 {
 		return &SpecError{"recur.every", s.Recur.Every, "must not be negative"}
 	}
+	if year := s.Recur.First.Year(); year < 0 || year > maxYear {
+		return &SpecError{"recur.first", s.Recur.First, fmt.Sprintf("must be in the years 0 to %d", maxYear)}
+	}
 	if s.Recur.Every > 0 && s.Recur.Times > int(math.MaxInt64/s.Recur.Every) {
 		return &SpecError{"recur.times", s.Recur.Times, "the last time is beyond all dates"}
 	}
@@ -176,8 +186,8 @@
 			return err
 		}
 	}
-	if tasks := s.tasks(); tasks > MaxTasks {
-		return &SpecError{"steps", tasks, fmt.Sprintf("have more than %d tasks", MaxTasks)}
+	if s.tasks() > MaxTasks {
+		return &SpecError{"steps", len(s.Steps), fmt.Sprintf("must have at most %d tasks in total", MaxTasks)}
 	}
 	return nil
 }
@@ -189,6 +199,8 @@
 		return &SpecError{field("count"), s.Count, "must be above 0"}
 	case s.Need.CPUMilli < 0 || s.Need.MemoryMiB < 0 || s.Need.Accelerators < 0:
 		return &SpecError{field("need"), s.Need, "must not be negative"}
+	case s.Need.CPUMilli > maxNeed || s.Need.MemoryMiB > maxNeed || s.Need.Accelerators > maxNeed:
+		return &SpecError{field("need"), s.Need, fmt.Sprintf("must not exceed %d in any unit", maxNeed)}
 	case s.Estimate < 0:
 		return &SpecError{field("estimate"), s.Estimate, "must not be negative"}
 	}
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -151,24 +152,27 @@
 	}
 }
 
-// The error for an invalid spec must name the field that is wrong.
+// The error for an invalid spec must name the field that is wrong, and its value.
 func TestSpecErrorsNameTheField(t *testing.T) {
 	cases := []struct {
 		spec  workload.Spec
 		field string
+		value any
 	}{
-		{workload.Spec{}, "steps"},
-		{workload.Spec{Steps: []workload.Step{{Count: 0}}}, "steps[0].count"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: -1}}}}, "steps[0].need"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1}, {Count: 1, After: []int{1}}}}, "steps[1].after"},
-		{workload.Spec{Steps: []workload.Step{{Count: 5000}}}, "steps"},
-		{workload.Spec{Payload: string(make([]byte, 4001)), Steps: []workload.Step{{Count: 1}}}, "payload"},
-		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: -1}}, "recur.times"},
+		{workload.Spec{}, "steps", 0},
+		{workload.Spec{Steps: []workload.Step{{Count: 0}}}, "steps[0].count", 0},
+		{workload.Spec{Steps: []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: -1}}}}, "steps[0].need", pointport.Shape{CPUMilli: -1}},
+		{workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: -2}}}, "steps[0].estimate", time.Duration(-2)},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}, {Count: 1, After: []int{1}}}}, "steps[1].after", 1},
+		{workload.Spec{Steps: []workload.Step{{Count: 5000}}}, "steps", 1},
+		{workload.Spec{Payload: string(make([]byte, 4001)), Steps: []workload.Step{{Count: 1}}}, "payload", 4001},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: -1}}, "recur.times", -1},
+		{workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Every: -3}}, "recur.every", time.Duration(-3)},
 	}
 	for _, c := range cases {
 		var bad *workload.SpecError
-		if err := c.spec.Check(); !errors.As(err, &bad) || bad.Field != c.field {
-			t.Errorf("%+v: error is %v, want one about %s", c.spec, err, c.field)
+		if err := c.spec.Check(); !errors.As(err, &bad) || bad.Field != c.field || bad.Value != c.value {
+			t.Errorf("%+v: error is %v, want one about %s with value %v", c.spec, err, c.field, c.value)
 		}
 	}
 }
@@ -426,3 +430,50 @@
 		t.Errorf("%d tasks are in progress after an occurrence is completed, want %d again", len(refs(j, workload.Pending)), open)
 	}
 }
+
+// jobsBeyondAnyFleet are the steps of jobs whose sums over tasks overflow.
+var jobsBeyondAnyFleet = map[string][]workload.Step{
+	"sum of counts overflows":  {{Count: 1}, {Count: math.MaxInt}},
+	"sum of counts wraps to 0": {{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}},
+	"need of a gang overflows": {{Count: 4, Gang: true, Need: pointport.Shape{MemoryMiB: 1 << 62}}},
+	"sum of needs overflows":   {{Count: 1, Need: pointport.Shape{CPUMilli: math.MaxInt64}}},
+	"accelerators overflow":    {{Count: 2, Need: pointport.Shape{Accelerators: math.MaxInt64}}},
+}
+
+// Guards against jobs that pass the checks because a sum overflows: their owner, and each successor,
+// would allocate their tasks without bound or compute negative needs.
+func TestOverflowingJobsAreRejected(t *testing.T) {
+	for name, steps := range jobsBeyondAnyFleet {
+		spec := &workload.Spec{Steps: steps}
+		var invalid *workload.SpecError
+		if err := spec.Check(); !errors.As(err, &invalid) {
+			t.Errorf("%s: Check returns %v, want a *SpecError", name, err)
+		}
+	}
+}
+
+// Guards against stored jobs that an earlier version accepted although a sum overflows: each owner
+// in turn would run out of memory.
+func TestStoredOverflowingJobsAreRejected(t *testing.T) {
+	for name, steps := range jobsBeyondAnyFleet {
+		stored, err := workload.New("00112233445566aa", "q", workload.Policy{MaxAttempts: 3}, &workload.Spec{Steps: steps}, time.Unix(1000, 0)).EncodeAccepted()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := workload.DecodeAccepted("00112233445566aa", stored); err == nil {
+			t.Errorf("%s: the stored job is accepted", name)
+		}
+	}
+}
+
+// Guards against a job that is refused only while it is encoded, which looks like a failure of the
+// store: JSON has no times beyond the year 9999.
+func TestFirstTimeThatCannotBeStoredIsRejected(t *testing.T) {
+	for _, first := range []time.Time{time.UnixMilli(math.MaxInt64), time.UnixMilli(math.MinInt64), time.Date(10_000, 1, 1, 0, 0, 0, 0, time.UTC)} {
+		spec := &workload.Spec{Steps: []workload.Step{{Count: 1}}, Recur: workload.Recurrence{Times: 2, First: first, Every: time.Second}}
+		var invalid *workload.SpecError
+		if err := spec.Check(); !errors.As(err, &invalid) || invalid.Field != "recur.first" {
+			t.Errorf("first %d: %v, want a *SpecError of recur.first", first.Unix(), err)
+		}
+	}
+}
