Peer leases: an ownership that is found again uses none at first

Cause: a longer run of the model (2.5 million states, depth 14) showed that an owner that drops its ownership while a list of standbys is on its way, and finds its owner key again, does not know of that list. Another member can then take the pool by the new list while the owner holds the leases of the old one.

Change: the rule is in the package's doc comment, in the model, and among the guards that must be found. Proof needs no change: one without standbys proves nothing.

--- a/peerlease/doc.go
+++ b/peerlease/doc.go
@@ -17,6 +17,8 @@
 //     time. Both count time during which their machine is suspended.
 //   - Whoever is asked by a Document's reader is also asked by the owner: the owner needs the leases
 //     of the standbys of every Document that the store may hold.
+//   - An owner that finds an ownership of its own again, which it had dropped, has no standbys until
+//     it has stored its Document again: a list that it sent before may still be carried out.
 //   - A standby that has allowed a takeover, or has sent the transaction of its own, grants no more
 //     leases to that owner.
 //   - A document whose owner does not know of all starts of the owners before it says so, until it
--- a/peerlease/model_run_test.go
+++ b/peerlease/model_run_test.go
@@ -123,6 +123,9 @@
 	{"earlier pending list is asked", "another list", func(o *options) {
 		o.forgetsEarlierList, o.takers = true, setOf(procC)
 	}},
+	{"ownership that is found again stores its list first", "another list", func(o *options) {
+		o.trustsFoundOwnership, o.rewrites, o.takers = true, 1, setOf(procA, procC)
+	}},
 	{"read that shows the earlier list does not end a change", "another list", func(o *options) {
 		o.readEndsChange, o.rewrites, o.takers = true, 1, setOf(procC)
 	}},
--- a/peerlease/model_test.go
+++ b/peerlease/model_test.go
@@ -173,7 +173,8 @@
 
 	vacancy    vacancy
 	own        owned
-	unrecorded bool // it has started tasks without recording them
+	dropped    uint8 // the fence of an ownership that it has dropped while its key stays
+	unrecorded bool  // it has started tasks without recording them
 	// inherited reports that earlier owners may have done so.
 	inherited bool
 }
@@ -275,6 +276,7 @@
 	pendingNotNeeded         bool
 	readEndsChange           bool
 	forgetsEarlierList       bool
+	trustsFoundOwnership     bool
 	noLimit                  bool
 	noStandbyCondition       bool
 	noSecondCheck            bool
--- a/peerlease/steps_test.go
+++ b/peerlease/steps_test.go
@@ -217,6 +217,11 @@
 	n.fault = recorded && w.hidden
 	q.phase, q.vacancy, q.inherited = owning, vacancy{}, !recorded
 	q.own = owned{fence: w.store.fence, rev: w.store.doc.rev, proven: storeTTL, stored: w.store.doc.standbys}
+	if q.dropped == w.store.fence && !o.trustsFoundOwnership {
+		// A list that it sent before may still be carried out.
+		q.own.stored = 0
+	}
+	q.dropped = 0
 	n.store.left = storeTTL
 	emit(step{"acts as owner", q.id, 0}, n)
 }
@@ -252,6 +257,9 @@
 	n := w
 	q := &n.procs[m]
 	q.phase, q.own = idle, owned{}
+	if mine && o.rewrites > 0 { // otherwise there are no lists on their way
+		q.dropped = p.own.fence
+	}
 	q.withGrants(func(g *Grants) { g.EndTakeover(pool) })
 	emit(step{"drops the ownership", p.id, 0}, n)
 
@@ -288,6 +296,13 @@
 		n.procs[m].own.rev = n.store.revision
 		emit(step{"has adopted what earlier owners started", p.id, 0}, n)
 	}
+	if p.own.stored == 0 && w.store.revision < o.maxRevision {
+		n := w
+		n.store.revision++
+		n.store.doc.rev = n.store.revision
+		n.procs[m].own.rev, n.procs[m].own.stored = n.store.revision, d.standbys
+		emit(step{"stores its list again", p.id, 0}, n)
+	}
 	if o.releases && (quiet || o.releasesWhileUnrecorded) {
 		n := w
 		q := &n.procs[m]
@@ -309,7 +324,7 @@
 		own.stored, own.pending, own.rev = setOfProcesses(pr.stored), 0, d.rev
 		emit(step{"reads the later list", p.id, 0}, n)
 	}
-	if w.rewrites == 0 || p.unrecorded && !o.rewritesWhileUnrecorded || w.store.revision >= o.maxRevision {
+	if w.rewrites == 0 || p.own.stored == 0 || p.unrecorded && !o.rewritesWhileUnrecorded || w.store.revision >= o.maxRevision {
 		return
 	}
 	for _, list := range o.listsOf(w, m) {
