--- a/peerlease/model_run_test.go
+++ b/peerlease/model_run_test.go
@@ -48,6 +48,8 @@
 	"newcomer for long":    {24, 12},
 }
 
+// TestOnePoolOwner guards against two processes that act as owner of a pool at once, and against a
+// successor that takes unrecorded starts for recorded, in all interleavings to the scenario's depth.
 func TestOnePoolOwner(t *testing.T) {
 	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 		o := scenarios[name]
@@ -159,6 +161,8 @@
 	raceMutantStates = 50_000
 )
 
+// TestOnePoolOwnerNeedsItsGuards guards against a model that finds nothing: without a guard it must
+// find a violation, and logs the shortest trace.
 func TestOnePoolOwnerNeedsItsGuards(t *testing.T) {
 	for _, m := range mutants {
 		t.Run(m.guard, func(t *testing.T) {
--- a/peerlease/successor_model_test.go
+++ b/peerlease/successor_model_test.go
@@ -294,6 +294,8 @@
 	return w
 }
 
+// TestUnrecordedStartRunsOnce guards against two runs of a task at once, and against a run after a
+// successor was told that the task is done, in all states of the model.
 func TestUnrecordedStartRunsOnce(t *testing.T) {
 	begin := time.Now()
 	depth, states := boundsOf(t, math.MaxInt, 12)
@@ -304,10 +306,12 @@
 	}
 }
 
+// TestUnrecordedStartRunsOnceRandomWalks checks the same in longer series of steps.
 func TestUnrecordedStartRunsOnceRandomWalks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { walk[taskWorld, taskStep](t, taskOptions{}, 100) })
 }
 
+// TestUnrecordedStartNeedsItsGuards guards against a model that finds nothing.
 func TestUnrecordedStartNeedsItsGuards(t *testing.T) {
 	for _, m := range []struct {
 		guard   string
