Schedule: start unrecorded, hold back and adopt

Cause: an owner that is proven by peer leases alone can store nothing, so it started nothing either; and a successor could not tell a task that was started without a record from one that never started.

Change: schedule releases the starts of first runs in jobs stored as begun while the owner is peer-leased. A successor whose predecessor may have done so holds these tasks back until every run of them is known, adopts first runs that instances list, and counts their ends. SetIncarnations moves to registration.go.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -160,6 +160,9 @@
 	JobExcess       = define(548, "job in excess", slog.LevelInfo, "A job was refused at once, and never runs, because its customer has too much waiting in its pool; after is the time after which the customer was asked to try again.")
 	StartSkipped    = define(556, "start forgone", slog.LevelInfo, "A start order was not sent because its instance's availability zone is evacuated, or may be, as standing shows. sentBefore is whether it was sent before without an answer; then a stop order rules it out.",
 		withOutcomes("standing", "evacuated", "unknown"))
+	StartUnrecorded = define(557, "start unrecorded", slog.LevelInfo, "A start order is sent before it is stored, because the owner of the pool is proven by peer leases alone; after is the time since the task was placed.", withDuration("after"))
+	RunAdopted      = define(558, "run adopted", slog.LevelInfo, "An instance lists a run that the previous owner of the pool started without recording it, and the new owner goes on with it; after is the time since the takeover.", withDuration("after"))
+	TasksHeldBack   = define(559, "tasks held back", slog.LevelInfo, "The previous owner of a pool may have started tasks without recording it; they do not start until all instances have reported. begins is false once they may start; tasks is how many are not accounted for, instances is how many instances have not reported, and after is the time since the takeover.", withOutcomes("begins", "true", "false"), withDuration("after"))
 	WorkerCleared   = define(532, "instance sound", slog.LevelInfo, "An instance that was suspected has completed a task and gets tasks like any other.")
 	WorkerSuspected = define(505, "instance suspected", slog.LevelWarn, "An instance fails far more tasks than its peers and gets no new ones.")
 )
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -40,6 +40,8 @@
 	starts   []*Run
 	acks     map[*Worker]int64
 	ended    []*entry
+	// begun holds the jobs that the batch stores as begun.
+	begun []*entry
 	// endedOn holds one worker for each end of a run that the batch stores.
 	endedOn []*Worker
 }
@@ -54,7 +56,15 @@
 }
 
 // Starts returns how many starts may be sent once the batch is stored.
-func (b *Batch) Starts() int { return len(b.starts) }
+func (b *Batch) Starts() int {
+	n := 0
+	for _, r := range b.starts {
+		if r.state == runUnstored {
+			n++
+		}
+	}
+	return n
+}
 
 // Urgent reports whether something waits for the next batch to be stored.
 func (s *Scheduler) Urgent() bool { return s.urgent || len(s.unstoredStarts) > 0 }
@@ -79,6 +89,9 @@
 			continue
 		}
 		entries -= record.Entries()
+		if e.job.Begun() {
+			batch.begun = append(batch.begun, e)
+		}
 		if e.ended == "" {
 			record.Progress = e.job.EncodeProgress()
 		} else {
@@ -93,6 +106,7 @@
 	s.unstoredStarts = slices.DeleteFunc(s.unstoredStarts, func(r *Run) bool {
 		if taken[r.entry] {
 			batch.starts = append(batch.starts, r)
+			s.noteTaken(r)
 		}
 		return taken[r.entry]
 	})
@@ -135,15 +149,17 @@
 // placementsFull reports whether so many tasks, or tasks of so many jobs, wait to be stored that
 // further placements would only reserve capacity without running.
 func (s *Scheduler) placementsFull() bool {
-	if len(s.unstoredStarts) >= s.maxUnstoredStarts {
+	if s.waitingForStore() >= s.maxUnstoredStarts {
 		return true
 	}
-	if !s.batchLimited || len(s.unstoredStarts) < maxUnstoredJobs {
+	if !s.batchLimited || s.waitingForStore() < maxUnstoredJobs {
 		return false
 	}
 	jobs := make(map[*entry]bool)
 	for _, r := range s.unstoredStarts {
-		jobs[r.entry] = true
+		if !r.unrecorded {
+			jobs[r.entry] = true
+		}
 	}
 	return len(jobs) >= maxUnstoredJobs
 }
@@ -166,7 +182,11 @@
 			slog.String("state", string(e.ended)), slog.Duration("after", now.Sub(e.job.Submitted())),
 			slog.Duration("objective", s.objective(e)))
 	}
+	for _, e := range batch.begun {
+		e.begunStored = true
+	}
 	for _, r := range batch.starts {
+		s.noteRecorded(r)
 		if r.worker.runs[r.name] != r || r.state != runUnstored {
 			continue
 		}
--- /dev/null
+++ b/schedule/hold.go
@@ -0,0 +1,253 @@
+package schedule
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pointport/pointport"
+	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/workload"
+)
+
+// This file defines which tasks an owner holds back because the previous owner may have started them
+// without recording it.
+
+// registrationsBack is for how long the registrations must be readable until instances whose entries
+// expired while the store was unavailable are registered again.
+const registrationsBack = 2 * time.Second
+
+// A hold keeps tasks from starting until every instance that may have a run of them has reported, or
+// everything that ran there has certainly ended.
+type hold struct {
+	// jobs holds the jobs that were stored as begun at the takeover and have tasks that the previous
+	// owner may have started.
+	jobs map[*entry]struct{}
+	// tasks is how many such tasks are not adopted yet.
+	tasks int
+	// customers holds the customers of these jobs.
+	customers map[*account]struct{}
+	// logged reports whether the beginning of the hold was logged.
+	logged bool
+}
+
+// newHold returns the hold of a new owner, nil if the previous one has recorded all starts.
+func newHold(predecessorUnrecorded bool) *hold {
+	if !predecessorUnrecorded {
+		return nil
+	}
+	return &hold{jobs: make(map[*entry]struct{}), customers: make(map[*account]struct{})}
+}
+
+// holdBack adds a job that was read at the takeover to the hold, if the previous owner may have
+// started tasks of it unrecorded.
+func (s *Scheduler) holdBack(e *entry) {
+	if s.hold == nil || !e.begunStored {
+		return
+	}
+	s.hold.jobs[e] = struct{}{}
+	tasks := len(s.heldTasks(e))
+	if tasks == 0 {
+		delete(s.hold.jobs, e)
+		return
+	}
+	s.hold.tasks += tasks
+	if e.account != nil {
+		s.hold.customers[e.account] = struct{}{}
+	}
+}
+
+// heldBack reports whether a task is held back.
+func (s *Scheduler) heldBack(e *entry, ref workload.TaskRef) bool {
+	if !s.holds(e) {
+		return false
+	}
+	t := e.job.Task(ref)
+	return t != nil && t.Phase == workload.Pending && t.Run == 0 && startsUnrecorded(e.job, &e.job.Spec().Steps[ref.Step])
+}
+
+// holds reports whether the previous owner may have unrecorded runs of a job.
+func (s *Scheduler) holds(e *entry) bool {
+	if s.hold == nil {
+		return false
+	}
+	_, ok := s.hold.jobs[e]
+	return ok
+}
+
+// heldTasks returns the tasks of a job that are held back.
+func (s *Scheduler) heldTasks(e *entry) []workload.TaskRef {
+	var out []workload.TaskRef
+	e.job.Occurrences(func(o *workload.Occurrence) {
+		for n, step := range o.Steps {
+			for i := range step {
+				ref := workload.TaskRef{Occurrence: o.Index, Step: n, Index: i}
+				if s.heldBack(e, ref) {
+					out = append(out, ref)
+				}
+			}
+		}
+	})
+	return out
+}
+
+// usageUnknown reports whether a customer with a cap may have unrecorded runs. Any other task of the
+// customer could then exceed the cap.
+func (s *Scheduler) usageUnknown(a *account) bool {
+	if s.hold == nil || a == nil || !a.capped {
+		return false
+	}
+	_, ok := s.hold.customers[a]
+	return ok
+}
+
+// HoldsBack reports whether tasks are held back because the previous owner may have started them.
+// What customers use of the pool is not fully known until then.
+func (s *Scheduler) HoldsBack() bool { return s.hold != nil }
+
+// awaitsReport reports whether a worker may have unrecorded runs of which this owner does not know.
+// Nothing is placed there, because its free capacity is not known.
+func (s *Scheduler) awaitsReport(w *Worker) bool { return s.hold != nil && !w.fullyReported }
+
+// unreportedWorkers returns the incarnations that have not reported yet and are not known to have
+// ended, sorted.
+func (s *Scheduler) unreportedWorkers() []pointport.IncarnationID {
+	var out []pointport.IncarnationID
+	for id, w := range s.workers {
+		if !w.ended && !w.fullyReported && !s.gone(w) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// registrationsComplete reports whether the registrations have been readable for so long since the
+// takeover that every instance that can reach the store is registered.
+func (s *Scheduler) registrationsComplete() bool {
+	since := s.registryCoverage.Since
+	if since.IsZero() {
+		return false
+	}
+	return s.registryCoverage.Until.Sub(laterTime(since, s.tookOverAt)) >= registrationsBack
+}
+
+// unregisteredExpired reports whether everything has ended that the previous owner has started on
+// instances that are not registered. An instance that is cut off from the store, but not from the
+// members, runs on unseen until its execution lease expires.
+func (s *Scheduler) unregisteredExpired(now time.Time) bool {
+	bound := s.settings.PredecessorBound
+	for id := range s.workers {
+		bound = max(bound, s.predecessorBound(id))
+	}
+	return now.After(s.tookOverAt.Add(bound))
+}
+
+// reviewHold ends the hold once no unrecorded run of the previous owner can be unknown.
+func (s *Scheduler) reviewHold(now time.Time) {
+	h := s.hold
+	if h == nil {
+		return
+	}
+	if h.tasks == 0 {
+		s.endHold(now)
+		return
+	}
+	if !h.logged {
+		h.logged = true
+		s.logHold(now, true)
+	}
+	if s.registrationsComplete() && s.unregisteredExpired(now) && len(s.unreportedWorkers()) == 0 {
+		s.endHold(now)
+	}
+}
+
+// endHold releases the tasks that are held back. Their first run may have ended without leaving a
+// trace, so their next start has number 2.
+func (s *Scheduler) endHold(now time.Time) {
+	h := s.hold
+	if h.logged {
+		s.logHold(now, false)
+	}
+	for e := range h.jobs {
+		for _, ref := range s.heldTasks(e) {
+			e.job.AssumeStarted(ref)
+		}
+	}
+	s.hold = nil
+	for e := range h.jobs {
+		s.invalidateReady(e)
+		s.endJobIfDone(now, e)
+	}
+}
+
+func (s *Scheduler) logHold(now time.Time, begins bool) {
+	event.TasksHeldBack.Log(s.logger, slog.Bool("begins", begins), slog.Int("tasks", s.hold.tasks),
+		slog.Int("instances", len(s.unreportedWorkers())), slog.Duration("after", now.Sub(s.tookOverAt)))
+}
+
+// adopt makes a run the run of its task if the previous owner may have started it unrecorded: it is
+// the first run of a task that is held back. It returns nil if the run is not adopted.
+func (s *Scheduler) adopt(w *Worker, now time.Time, run pointport.TaskRun) *Run {
+	if s.hold == nil || run.Run != firstRun {
+		return nil
+	}
+	id, ref, err := workload.ParseTaskName(run.Task)
+	e := s.jobs[id]
+	if err != nil || e == nil || workload.TaskName(id, ref) != run.Task {
+		return nil
+	}
+	if e.ended != "" || e.job.Stopping() || !s.heldBack(e, ref) {
+		return nil
+	}
+	s.hold.tasks--
+	e.job.Place(ref, w.inc.ID(), run.Run)
+	r := s.newRun(now, e, ref, w, run.Run, runInherited)
+	r.unrecorded = true
+	s.unrecorded.count++
+	s.unrecorded.queued++
+	s.unstoredStarts = append(s.unstoredStarts, r)
+	s.markDirty(e, true)
+	event.RunAdopted.Log(s.logger, slog.String("task", r.name), slog.Int("run", r.number),
+		slog.String("incarnation", string(w.inc.ID())), slog.Duration("after", now.Sub(s.tookOverAt)))
+	return r
+}
+
+// explainHold returns why ready tasks of the step of t are not placed if unrecorded starts are the
+// reason, otherwise the empty string; tasks is their number.
+func (s *Scheduler) explainHold(t waitingTask, tasks int) string {
+	held := 0
+	for _, ref := range s.heldTasks(t.entry) {
+		if ref.Occurrence == t.ref.Occurrence && ref.Step == t.ref.Step {
+			held++
+		}
+	}
+	switch {
+	case held > 0:
+		return fmt.Sprintf("%d tasks are held back: the previous owner may have started them%s", held, s.explainUnreported())
+	case s.usageUnknown(t.entry.account):
+		return fmt.Sprintf("%d tasks are held back: the previous owner may have started others of %s, which has a cap%s", tasks, t.entry.account.name, s.explainUnreported())
+	case s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, firstRun):
+		return fmt.Sprintf("%d tasks wait for the store, which is unavailable: they may not start before that is stored", tasks)
+	}
+	return ""
+}
+
+// explainUnreported returns what the hold waits for, as text.
+func (s *Scheduler) explainUnreported() string {
+	const most = 5 // keeps the text short in a large pool
+	ids := s.unreportedWorkers()
+	if len(ids) == 0 {
+		return "; instances that are not registered may still run them"
+	}
+	names := make([]string, 0, most)
+	for _, id := range ids[:min(len(ids), most)] {
+		names = append(names, string(id))
+	}
+	if len(ids) > most {
+		names = append(names, "...")
+	}
+	return fmt.Sprintf("; %d instances have not reported: %s", len(ids), strings.Join(names, ", "))
+}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -17,6 +17,7 @@
 // occurrences, moves serving tasks, and places waiting tasks as far as they fit.
 func (s *Scheduler) Plan(now time.Time) {
 	s.sweep(now)
+	s.reviewHold(now)
 	s.ruleOutStarts(now)
 	s.resendOrders(now)
 	s.beginDueOccurrences(now)
@@ -102,6 +103,9 @@
 	for n := 0; n < len(e.ready); {
 		group := gangOf(e.ready[n:])
 		n += len(group)
+		if !p.scheduler.mayPlace(group[0]) {
+			continue
+		}
 		if !e.account.withinCap(group[0].step.Need.Times(len(group))) {
 			p.scheduler.noteHeldBack(p.now, group)
 			continue
@@ -207,7 +211,7 @@
 func (s *Scheduler) usableWorkers(now time.Time) []*Worker {
 	var out []*Worker
 	for _, w := range s.workers {
-		if w.usable(now) {
+		if w.usable(now) && !s.awaitsReport(w) {
 			out = append(out, w)
 		}
 	}
--- a/schedule/preempt.go
+++ b/schedule/preempt.go
@@ -24,7 +24,7 @@
 // loses the least work.
 func (s *Scheduler) preempt(now time.Time, t waitingTask, workers []*Worker) {
 	e := t.entry
-	if e.job.Policy().Priority != 0 || s.preemptibleRuns == 0 {
+	if e.job.Policy().Priority != 0 || s.preemptibleRuns == 0 || s.unrecorded.peerLeased {
 		return
 	}
 	if now.Sub(e.starved) < preemptAfter || now.Sub(e.preempted) < preemptEvery {
--- a/schedule/registration.go
+++ b/schedule/registration.go
@@ -6,7 +6,8 @@
 	"github.com/pointport/pointport"
 )
 
-// This file defines when an incarnation that is not registered counts as gone.
+// This file defines how registrations are followed, and when an incarnation that is not registered
+// counts as gone.
 
 // A RegistryCoverage is the latest interval in which the registrations could be read without
 // interruption.
@@ -28,6 +29,35 @@
 // could be read.
 func (s *Scheduler) SetRegistryCoverage(coverage RegistryCoverage) { s.registryCoverage = coverage }
 
+// SetIncarnations updates the workers from the registrations of the pool's instances.
+func (s *Scheduler) SetIncarnations(now time.Time, all []pointport.Incarnation) {
+	listed := make(map[pointport.IncarnationID]bool, len(all))
+	for _, inc := range all {
+		listed[inc.ID()] = true
+		s.register(now, inc)
+	}
+	s.updateListed(now, listed)
+	s.sweep(now)
+}
+
+func (s *Scheduler) register(now time.Time, inc pointport.Incarnation) {
+	w := s.worker(now, inc.ID())
+	if !w.registered {
+		w.registered = true
+		s.pollNow[w] = struct{}{}
+		s.restoreHealth(w, inc.Instance())
+	}
+	s.resize(w, inc.Capacity())
+	leaving := inc.Draining() && !w.inc.Draining()
+	if inc.ColdRemaining() != w.inc.ColdRemaining() { // each change of the registration gives the remaining cold time
+		w.coldUntil = now.Add(inc.ColdRemaining())
+	}
+	w.inc = inc
+	if leaving {
+		s.handleDraining(now, w)
+	}
+}
+
 // gone reports whether a worker's registration has been removed for good: it has been missing for
 // longer than one that expired by mistake. Time in which the registrations could not be read does
 // not count, because the registration may have been there.
--- a/schedule/relocate.go
+++ b/schedule/relocate.go
@@ -22,7 +22,7 @@
 // there are free resources for them elsewhere, where they are placed at once. Without free resources
 // they stay: emptying an instance later does less harm than an unavailable service.
 func (s *Scheduler) relocate(now time.Time) {
-	if now.Sub(s.tookOverAt) < takeoverPause {
+	if s.unrecorded.peerLeased || now.Sub(s.tookOverAt) < takeoverPause {
 		return
 	}
 	var h *servingCapacity
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -21,6 +21,7 @@
 	s.endEarlierIncarnations(w, sent, now)
 	w.lease.observeClock(now, report.Clock)
 	w.reportedAt = now
+	w.fullyReported = w.fullyReported || len(report.Ended) < maxListedEnds
 	w.silent = false // only a report clears this: the answer to an order does not show what runs there
 	w.answeredUnlisted = w.answeredUnlisted || !w.listed
 	w.expiredRuns = nil // the instance is alive, so it did not crash under them
@@ -43,6 +44,9 @@
 	w.strays = 0
 	for _, row := range report.Running {
 		r := w.runs[row.Task]
+		if r == nil {
+			r = s.adopt(w, now, row.TaskRun)
+		}
 		if r == nil || r.number != row.Run {
 			w.strays++
 			s.stopStray(w, row.TaskRun)
@@ -139,6 +143,9 @@
 		return
 	}
 	w.lastEnd = end.Number
+	if r == nil {
+		r = s.adopt(w, now, end.TaskRun)
+	}
 	if r == nil || r.number != end.Run {
 		s.replacedRunEnded(w, now, end)
 		return
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -54,6 +54,9 @@
 	resendAt time.Time
 	// startSent reports whether a start order was sent, so that the run may have begun.
 	startSent bool
+	// unrecorded reports whether the run has started, or was adopted, and no stored batch contains it
+	// yet.
+	unrecorded bool
 	// listed reports whether a report of the worker's incarnation has listed the run. An answer to
 	// a start does not prove that, because it may come from a later incarnation.
 	listed bool
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -31,6 +31,8 @@
 	GangTimeout time.Duration
 	// RemoteDataSlowdown is the ratio of a task's duration away from its data to its duration near it.
 	RemoteDataSlowdown float64
+	// PredecessorUnrecorded is whether the previous owner may have started tasks unrecorded.
+	PredecessorUnrecorded bool
 }
 
 // An entry holds a job and the scheduling state of its tasks.
@@ -75,6 +77,8 @@
 	// begun reports whether a run of the job is known to have started, under this owner or an
 	// earlier one.
 	begun bool
+	// begunStored reports whether the job is stored as begun.
+	begunStored bool
 	// ended is the job's final status, empty while the job is open.
 	ended workload.Status
 }
@@ -123,6 +127,9 @@
 	// occurrences.
 	waitingJobs, recurring map[*entry]struct{}
 	unstoredStarts         []*Run // placed, but their start is not stored yet
+	unrecorded             unrecordedStarts
+	// hold keeps back what the previous owner may have started, nil if there is nothing.
+	hold *hold
 	// batchLimited reports whether the last batch was limited to few entries, which limits further
 	// placements.
 	batchLimited bool
@@ -170,7 +177,7 @@
 		estimates:            newEstimates(),
 		dirty:                make(map[*entry]bool),
 		waitingJobs:          make(map[*entry]struct{}), recurring: make(map[*entry]struct{}),
-		gangs:   make(map[*gang]struct{}),
+		gangs: make(map[*gang]struct{}), hold: newHold(s.PredecessorUnrecorded),
 		pollNow: make(map[*Worker]struct{}), maxUnstoredStarts: math.MaxInt,
 	}
 }
@@ -187,7 +194,7 @@
 	if _, ok := s.endedJobs[j.ID()]; ok {
 		return false
 	}
-	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun()}
+	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun()}
 	s.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 && !e.account.atCap() {
 		s.arrivals.add(now, j, s.estimates)
@@ -197,6 +204,7 @@
 	}
 	s.invalidateReady(e)
 	s.inheritRuns(now, e)
+	s.holdBack(e)
 	if j.Stopping() {
 		s.stopAll(now, e, "its job was cancelled or has failed")
 	}
@@ -359,7 +367,7 @@
 	}
 	e.job.BeginDue(now.Add(s.settings.Early))
 	status := e.job.Status()
-	if !status.Ended() || len(e.runs) > 0 {
+	if !status.Ended() || len(e.runs) > 0 || s.holds(e) && e.job.Stopping() {
 		return
 	}
 	e.ended = status
@@ -445,35 +453,6 @@
 	}
 }
 
-// SetIncarnations updates the workers from the registrations of the pool's instances.
-func (s *Scheduler) SetIncarnations(now time.Time, all []pointport.Incarnation) {
-	listed := make(map[pointport.IncarnationID]bool, len(all))
-	for _, inc := range all {
-		listed[inc.ID()] = true
-		s.register(now, inc)
-	}
-	s.updateListed(now, listed)
-	s.sweep(now)
-}
-
-func (s *Scheduler) register(now time.Time, inc pointport.Incarnation) {
-	w := s.worker(now, inc.ID())
-	if !w.registered {
-		w.registered = true
-		s.pollNow[w] = struct{}{}
-		s.restoreHealth(w, inc.Instance())
-	}
-	s.resize(w, inc.Capacity())
-	leaving := inc.Draining() && !w.inc.Draining()
-	if inc.ColdRemaining() != w.inc.ColdRemaining() { // each change of the registration gives the remaining cold time
-		w.coldUntil = now.Add(inc.ColdRemaining())
-	}
-	w.inc = inc
-	if leaving {
-		s.handleDraining(now, w)
-	}
-}
-
 // Workers returns the workers to poll, sorted by incarnation.
 func (s *Scheduler) Workers() []*Worker {
 	var out []*Worker
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -37,6 +37,9 @@
 
 // stopStalledRuns stops the runs of a worker that would be done sooner elsewhere.
 func (s *Scheduler) stopStalledRuns(now time.Time, w *Worker) {
+	if s.unrecorded.peerLeased {
+		return
+	}
 	for _, r := range w.runs {
 		if r.state != runLive || r.stopping || r.step().Service || r.step().Gang || r.progress >= wholePercent || r.pace < fullPace {
 			continue
--- a/schedule/survey.go
+++ b/schedule/survey.go
@@ -81,7 +81,8 @@
 	Serving     int                     `json:"serving,omitempty"`
 	Closed      bool                    `json:"closed,omitempty"`
 	// Unstored reports that tasks have ended there whose ends are not stored yet. Only the instance
-	// itself can report these to another owner, until it is moved or maintained.
+	// itself can report these to another owner, until it is moved or maintained. Unstored is also set
+	// while the instance may have unrecorded runs of the previous owner.
 	Unstored bool `json:"unstored,omitempty"`
 	// Silent reports that the instance does not answer.
 	Silent bool `json:"silent,omitempty"`
@@ -199,7 +200,7 @@
 	return InstanceLoad{
 		Instance: w.inc.Instance(), Incarnation: w.inc.ID(), Runs: len(w.runs), Serving: w.serving,
 		Closed: w.closed(now), Silent: w.silent || !w.lease.clockKnown(), Avoided: w.health.avoided(now),
-		Leaving: w.inc.Draining(), Capacity: w.inc.Capacity(), Known: now.Sub(w.knownSince), Unstored: w.unstored > 0,
+		Leaving: w.inc.Draining(), Capacity: w.inc.Capacity(), Known: now.Sub(w.knownSince), Unstored: w.unstored > 0 || s.awaitsReport(w),
 	}
 }
 
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -34,6 +34,8 @@
 	silentSince time.Time
 	// reportedAt is when the last report came.
 	reportedAt time.Time
+	// fullyReported reports whether this owner has got a report that listed all ends.
+	fullyReported bool
 	// pollRefused reports whether the last poll was answered by a refusal.
 	pollRefused bool
 	// ended reports whether the incarnation is known to have ended.
--- a/shard/caps.go
+++ b/shard/caps.go
@@ -79,9 +79,10 @@
 }
 
 // transferCaps stores the shares of customers' caps that the pool should have. At most one
-// transaction is in flight.
+// transaction is in flight. It waits while customers may have runs that the scheduler does not know,
+// because shares that these use could be transferred to other pools.
 func (o *Owner) transferCaps(ctx context.Context, now time.Time) {
-	if o.caps == nil || o.caps.transferring {
+	if o.caps == nil || o.caps.transferring || o.scheduler.HoldsBack() {
 		return
 	}
 	o.scheduler.VisitUsage(func(u schedule.CustomerUsage) {
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -34,14 +34,17 @@
 // from which a watch delivers every later job.
 func (o *Owner) load(ctx context.Context) (pointport.Revision, error) {
 	now := o.clock.Now()
+	// A successor of this owner must hold back what this owner still has to.
+	o.noteUnrecorded(o.ownership.PredecessorUnrecorded())
 	o.scheduler = schedule.NewScheduler(now, schedule.Settings{
-		Lease:              o.lease,
-		PredecessorBound:   o.session.TTL() + time.Duration(float64(o.lease)*1.05) + predecessorMargin,
-		MaxHold:            o.maxHold,
-		KeepEnded:          endedRetention,
-		Early:              early,
-		GangTimeout:        o.gangTimeout,
-		RemoteDataSlowdown: o.remoteDataSlowdown,
+		Lease:                 o.lease,
+		PredecessorBound:      o.session.TTL() + time.Duration(float64(o.lease)*1.05) + predecessorMargin,
+		MaxHold:               o.maxHold,
+		KeepEnded:             endedRetention,
+		Early:                 early,
+		GangTimeout:           o.gangTimeout,
+		RemoteDataSlowdown:    o.remoteDataSlowdown,
+		PredecessorUnrecorded: o.ownership.PredecessorUnrecorded(),
 	}, o.logger)
 	o.writer = member.NewWriter(o.kv, o.clock, o.ownership, o.logger)
 	for {
--- a/shard/orders.go
+++ b/shard/orders.go
@@ -69,7 +69,7 @@
 
 // maxNewStarts returns how many more tasks may be placed now.
 func (o *Owner) maxNewStarts() int {
-	waiting := o.starts.queued + o.starts.inFlight + o.startsBeingStored
+	waiting := o.starts.queued + o.starts.inFlight + o.storing.Starts()
 	return int((1+unsentStartRatio)*o.startLimit()) - waiting
 }
 
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -10,7 +10,8 @@
 //
 // Invariants:
 //
-//   - A start is sent only after the batch that records it is stored.
+//   - A start is sent only after the batch that records it is stored, except for those that
+//     package schedule lets start unrecorded while the owner is proven by peer leases alone.
 //   - Nothing is sent while this member cannot prove its lease.
 //   - A write that the store refuses because another member owns the pool ends
 //     the Owner.
@@ -124,6 +125,7 @@
 	evacuations        func() evacuation.Zones
 	logger             *slog.Logger
 	ownership          member.Ownership
+	peerLeased         func() bool // whether the ownership is proven by peer leases alone
 	lease              time.Duration
 	maxHold            time.Duration
 	gangTimeout        time.Duration
@@ -142,23 +144,25 @@
 	scheduler *schedule.Scheduler
 	loadedAt  pointport.Revision // revision at which the pool's open jobs were read
 	// unreadable contains the jobs whose stored progress cannot be decoded.
-	unreadable        map[string]bool
-	writer            *member.Writer
-	writing           bool
-	lastWrite         time.Time
-	writeTime         time.Duration // of each transaction in the last write, on average
-	lastPlan          time.Time
-	planInterval      time.Duration // least time between the last plan and the next
-	polls             map[*schedule.Worker]*pollState
-	queues            map[*schedule.Worker]*workerQueue
-	blocked           []*workerQueue // queues that wait until the window allows more starts
-	window            window
-	starts            starts
-	startsBeingStored int // in the batch that is being written
-	lag               lagMeter
-	waiters           []waiter
-	removals          []string
-	caps              *caps
+	unreadable   map[string]bool
+	writer       *member.Writer
+	writing      bool
+	lastWrite    time.Time
+	writeTime    time.Duration // of each transaction in the last write, on average
+	lastPlan     time.Time
+	planInterval time.Duration // least time between the last plan and the next
+	polls        map[*schedule.Worker]*pollState
+	queues       map[*schedule.Worker]*workerQueue
+	blocked      []*workerQueue // queues that wait until the window allows more starts
+	window       window
+	starts       starts
+	storing      schedule.Batch // the batch that is being written, empty if none is
+	// notedUnrecorded is the argument of the last call of Ownership.NoteUnrecorded.
+	notedUnrecorded bool
+	lag             lagMeter
+	waiters         []waiter
+	removals        []string
+	caps            *caps
 	// backlogRefusals is for how long to refuse further jobs, by customer, computed at
 	// backlogRefusalsAt.
 	backlogRefusals atomic.Pointer[map[string]time.Duration]
@@ -207,6 +211,7 @@
 		polls: make(map[*schedule.Worker]*pollState), queues: make(map[*schedule.Worker]*workerQueue), window: newWindow(), cancel: cancel,
 		unreadable: make(map[string]bool),
 	}
+	o.peerLeased = ownership.PeerLeased
 	for _, option := range options {
 		option(o)
 	}
@@ -332,12 +337,15 @@
 	if o.ownership.Proven() {
 		o.scheduler.LimitUnstoredStarts(o.maxNewStarts())
 		o.applyCaps(ctx)
+		o.scheduler.SetPeerLeased(o.peerLeased())
 		o.scheduler.Plan(now)
 		o.updateBacklogRefusals(now)
 		cost := o.clock.Now().Sub(now)
 		o.planInterval = min(max(minPlanInterval, planIntervalFactor*cost), maxPlanInterval)
 		o.requestAdvice(ctx, now)
 		o.write(ctx, now)
+		o.releaseUnrecorded(now)
+		o.updateUnrecorded()
 		o.transferCaps(ctx, now)
 		o.updateDelegating(now)
 		o.send(ctx, now)
--- /dev/null
+++ b/shard/unrecorded.go
@@ -0,0 +1,29 @@
+package shard
+
+import "time"
+
+// This file defines how starts are sent before they are stored, while the owner is proven by peer
+// leases alone.
+
+// releaseUnrecorded releases the starts that may be sent before they are stored.
+func (o *Owner) releaseUnrecorded(now time.Time) {
+	if !o.scheduler.MayReleaseUnrecorded(&o.storing) {
+		return
+	}
+	o.noteUnrecorded(true)
+	if !o.peerLeased() {
+		return // a change of standbys may have begun before it was noted
+	}
+	o.scheduler.ReleaseUnrecorded(&o.storing, now)
+}
+
+// updateUnrecorded passes on to the ownership whether starts are unrecorded, once that has changed.
+func (o *Owner) updateUnrecorded() { o.noteUnrecorded(o.scheduler.Unrecorded()) }
+
+func (o *Owner) noteUnrecorded(unrecorded bool) {
+	if o.notedUnrecorded == unrecorded {
+		return
+	}
+	o.notedUnrecorded = unrecorded
+	o.ownership.NoteUnrecorded(unrecorded)
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -41,11 +41,11 @@
 	}
 	waiters := o.takeWaiters(batch)
 	transactions := 1 + batch.Entries()/maxEntries
-	o.writing, o.lastWrite, o.startsBeingStored = true, now, batch.Starts()
+	o.writing, o.lastWrite, o.storing = true, now, batch
 	go func() {
 		err := o.storeRecords(ctx, batch.Records, removals)
 		o.enqueue(func(now time.Time) {
-			o.writing, o.startsBeingStored, o.writeTime = false, 0, now.Sub(o.lastWrite)/time.Duration(transactions)
+			o.writing, o.storing, o.writeTime = false, schedule.Batch{}, now.Sub(o.lastWrite)/time.Duration(transactions)
 			if err != nil {
 				o.fail(err)
 				return
