Schedule: property over owners that start unrecorded and crash

Change: the simulation of one owner gets outages of the store, crashes of owners and successors that read what is stored. The orders that existed keep their checks; what an owner knew only in memory is forgotten with it.

--- a/schedule/one_owner_test.go
+++ b/schedule/one_owner_test.go
@@ -43,7 +43,7 @@
 // runSimulation runs a simulation in which one kind of fault is frequent, and others may
 // occur.
 func runSimulation(t *rapid.T, frequent fault, sharedAddressees bool) {
-	w := newSimulation(t, frequent, sharedAddressees)
+	w := newSimulation(t, frequent, sharedAddressees, false)
 	w.run(start.Add(faultsOver))
 	w.end(recoveryTime)
 	if w.violation != "" {
--- a/schedule/owner_model_test.go
+++ b/schedule/owner_model_test.go
@@ -22,8 +22,8 @@
 	modelPollWait         = time.Second
 	modelPollRetry        = 150 * time.Millisecond
 	modelAckDelay         = 120 * time.Millisecond
-	modelMaxInFlight      = 2 // maximum orders in flight to one worker
-	modelFence            = pointport.Fence(7)
+	modelMaxInFlight      = 2                  // maximum orders in flight to one worker
+	modelFence            = pointport.Fence(7) // of the first owner
 	// modelOrderTimeout is how long the owner waits for the answer to an order.
 	modelOrderTimeout = 400 * time.Millisecond
 )
@@ -31,12 +31,15 @@
 // A modelOwner models the owner of a pool, which drives a scheduler in its event loop.
 type modelOwner struct {
 	sim         *simulation
+	fence       pointport.Fence
+	dead        bool // its process has ended
 	scheduler   *schedule.Scheduler
 	pausedUntil time.Time // until when its event loop is paused
 	inbox       []func()
 	lastPlan    time.Time
 	nextPlan    time.Time // when the next plan is scheduled
 	writing     bool
+	storing     schedule.Batch // the batch that is being written
 	lastWrite   time.Time
 	queues      map[*schedule.Worker]*modelQueue
 	polls       map[*schedule.Worker]*modelPoll
@@ -58,6 +61,9 @@
 
 // handle handles a message, at once or when the event loop goes on.
 func (o *modelOwner) handle(f func()) {
+	if o.dead {
+		return
+	}
 	if o.sim.now.Before(o.pausedUntil) {
 		o.inbox = append(o.inbox, f)
 		return
@@ -75,7 +81,7 @@
 	o.pausedUntil = until
 	o.sim.t.Logf("%v the owner is paused for %v", o.sim.since(), d)
 	o.sim.after(d, func() {
-		if o.sim.now.Before(o.pausedUntil) {
+		if o.dead || o.sim.now.Before(o.pausedUntil) {
 			return
 		}
 		o.sim.t.Logf("%v the owner resumes with %d messages", o.sim.since(), len(o.inbox))
@@ -107,7 +113,7 @@
 	}
 	o.nextPlan = at
 	o.sim.after(at.Sub(o.sim.now), func() {
-		if o.nextPlan != at {
+		if o.dead || o.nextPlan != at {
 			return // an earlier plan has been scheduled since
 		}
 		o.nextPlan = time.Time{}
@@ -121,8 +127,11 @@
 func (o *modelOwner) plan() {
 	now := o.sim.now
 	o.nextPlan, o.lastPlan = time.Time{}, now
+	o.readRegistrations()
+	o.scheduler.SetPeerLeased(o.sim.storeAway > 0)
 	o.scheduler.Plan(now)
 	o.write()
+	o.releaseUnrecorded()
 	o.send()
 	o.pollAll()
 	next := now.Add(modelIdlePlanInterval)
@@ -153,16 +162,29 @@
 		return
 	}
 	batch := o.scheduler.TakeBatch(everything)
-	o.writing, o.lastWrite = true, now
+	o.writing, o.lastWrite, o.storing = true, now, batch
 	took := 3 * time.Millisecond
 	if o.sim.faultOccurs(slowStore) {
 		took += o.sim.drawDuration("store", 500*time.Millisecond)
 	}
-	o.sim.after(took, func() {
-		o.handle(func() {
-			o.writing = false
-			o.scheduler.Stored(batch, o.sim.now)
-		})
+	o.sim.after(took, func() { o.commit(batch) })
+}
+
+// commit stores a batch once the store is available, unless another owner has taken over.
+func (o *modelOwner) commit(batch schedule.Batch) {
+	if o.sim.storeAway > 0 {
+		o.sim.after(modelWriteInterval, func() { o.commit(batch) })
+		return
+	}
+	if o.sim.owner != o {
+		return
+	}
+	for _, r := range batch.Records {
+		o.sim.store[r.ID].progress, o.sim.store[r.ID].ended = r.Progress, r.Ended
+	}
+	o.handle(func() {
+		o.writing, o.storing = false, schedule.Batch{}
+		o.scheduler.Stored(batch, o.sim.now)
 	})
 }
 
@@ -219,13 +241,13 @@
 	w.call(kindName(order.Kind), order.TaskRun, order.Worker.Endpoint(), modelOrderTimeout, func(at *modelIncarnation, answer func(any, error)) {
 		switch order.Kind {
 		case schedule.OrderStart:
-			err := at.start(pointport.StartOrder{TaskRun: order.TaskRun, Fence: modelFence, LeaseUntil: millis(until)})
+			err := at.start(pointport.StartOrder{TaskRun: order.TaskRun, Fence: o.fence, LeaseUntil: millis(until)})
 			answer(millis(at.clock(w.now)), err)
 		case schedule.OrderStop:
-			err := at.stop(pointport.StopOrder{TaskRun: order.TaskRun, Fence: modelFence})
+			err := at.stop(pointport.StopOrder{TaskRun: order.TaskRun, Fence: o.fence})
 			answer(millis(at.clock(w.now)), err)
 		default:
-			answer(pointport.InstanceTime(0), at.admit(modelFence, 0))
+			answer(pointport.InstanceTime(0), at.admit(o.fence, 0))
 		}
 	}, func(a any, err error) {
 		clock, _ := a.(pointport.InstanceTime)
@@ -300,7 +322,7 @@
 	if !plan.MayWait {
 		wait = 0
 	}
-	order := pointport.PollOrder{Fence: modelFence, LeaseUntil: millis(w.ExtendLease(sent, settings.Lease)), Acknowledged: plan.Acknowledged, Wait: wait}
+	order := pointport.PollOrder{Fence: o.fence, LeaseUntil: millis(w.ExtendLease(sent, settings.Lease)), Acknowledged: plan.Acknowledged, Wait: wait}
 	sim.call("poll", pointport.TaskRun{}, w.Endpoint(), modelOrderTimeout+wait, func(at *modelIncarnation, answer func(any, error)) {
 		at.hold(w.Endpoint().Incarnation, order, func(r pointport.Report, err error) {
 			r.Clock = millis(r.Clock)
--- a/schedule/simulation_model_test.go
+++ b/schedule/simulation_model_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"log/slog"
 	"slices"
 	"time"
 
@@ -63,6 +62,12 @@
 	knownDone     map[string]bool      // tasks of which the owner has handled a completed end
 	eventCount    int
 	violation     string
+	// handover is set if owners crash and successors take over; see handover_model_test.go.
+	handover  bool
+	storeAway int       // outages of the store that have not ended
+	storeBack time.Time // when the store was available again
+	store     map[string]*modelStoredJob
+	seen      eventCounter
 	// sharedAddressees is set if incarnations of an instance may share an addressee.
 	sharedAddressees bool
 }
@@ -249,18 +254,24 @@
 // register reports to the owner, some time later, which instances are registered.
 func (w *simulation) register() {
 	w.after(w.drawDuration("registered", 300*time.Millisecond), func() {
-		w.owner.handle(func() {
-			var all []pointport.Incarnation
-			for _, m := range w.instances {
-				if m.current != nil && m.listed {
-					all = append(all, m.registration())
-				}
-			}
-			w.owner.scheduler.SetIncarnations(w.now, all)
-		})
+		if w.storeAway > 0 {
+			return
+		}
+		w.owner.handle(func() { w.owner.scheduler.SetIncarnations(w.now, w.registrations()) })
 	})
 }
 
+// registrations returns the instances that are registered.
+func (w *simulation) registrations() []pointport.Incarnation {
+	var all []pointport.Incarnation
+	for _, m := range w.instances {
+		if m.current != nil && m.listed {
+			all = append(all, m.registration())
+		}
+	}
+	return all
+}
+
 // workOf returns the work of a task, which it draws at the first call.
 func (w *simulation) workOf(task string) modelWork {
 	if k, ok := w.work[task]; ok {
@@ -405,10 +416,10 @@
 
 // newSimulation draws a simulation in which one kind of fault is frequent, and others may
 // occur.
-func newSimulation(t *rapid.T, frequent fault, sharedAddressees bool) *simulation {
+func newSimulation(t *rapid.T, frequent fault, sharedAddressees, handover bool) *simulation {
 	w := &simulation{
-		sharedAddressees: sharedAddressees,
-		t:                t, now: start, work: make(map[string]modelWork), steps: make(map[string]workload.Step),
+		sharedAddressees: sharedAddressees, handover: handover, storeBack: start, store: make(map[string]*modelStoredJob), seen: make(eventCounter),
+		t: t, now: start, work: make(map[string]modelWork), steps: make(map[string]workload.Step),
 		started: make(map[string][]time.Time), done: make(map[string]time.Time), knownDone: make(map[string]bool),
 	}
 	for range frequent {
@@ -418,12 +429,7 @@
 		w.faultExponent[k] = max(0, rapid.IntRange(-3, 5).Draw(t, "often"))
 	}
 	w.faultExponent[frequent] = rapid.IntRange(1, 4).Draw(t, "frequent")
-	kept := settings
-	kept.KeepEnded = time.Hour // so that all jobs are known at the end of a simulation
-	w.owner = &modelOwner{
-		sim: w, scheduler: schedule.NewScheduler(start, kept, slog.New(slog.DiscardHandler)), queues: make(map[*schedule.Worker]*modelQueue),
-		polls: make(map[*schedule.Worker]*modelPoll), cancelled: make(map[string]bool),
-	}
+	w.owner = w.newOwner(modelFence, false)
 	for n := range 2 + w.drawBelow("instances", 2) {
 		m := &modelInstance{sim: w, number: n, capacity: size, listed: true}
 		w.instances = append(w.instances, m)
@@ -441,6 +447,9 @@
 	}
 	w.after(activePeriod, func() { w.faultExponent = [faultKinds]int{} })
 	w.after(faultsOver, w.cancelServing)
+	if handover {
+		w.drawHandovers()
+	}
 	w.owner.planSoon()
 	return w
 }
@@ -461,16 +470,22 @@
 		})
 		id := fmt.Sprintf("job%d", n)
 		w.steps[id] = s
-		w.after(w.drawDuration("submitted", activePeriod), func() {
-			j := workload.New(id, "q", policy, &workload.Spec{Steps: []workload.Step{s}}, w.now)
-			w.owner.handle(func() { w.owner.scheduler.Add(w.now, j) })
-		})
+		steps := []workload.Step{s}
+		if w.handover {
+			second := s
+			second.After = []int{0}
+			steps = append(steps, second)
+		}
+		w.after(w.drawDuration("submitted", activePeriod), func() { w.submit(id, &workload.Spec{Steps: steps}) })
 	}
 }
 
 // openJob returns a job that has not ended, or the empty string if all have.
 func (w *simulation) openJob() string {
 	for id := range w.steps {
+		if j := w.store[id]; j != nil && j.ended != "" {
+			continue
+		}
 		if status, _ := w.owner.scheduler.Status(id); !status.Ended() {
 			return id
 		}
@@ -541,11 +556,14 @@
 
 // cancel has a customer cancel a job.
 func (w *simulation) cancel(id string) {
-	w.owner.handle(func() {
-		if w.owner.scheduler.Cancel(w.now, id) {
-			w.owner.cancelled[id] = true
-		}
-	})
+	if w.storeAway > 0 {
+		w.after(time.Second, func() { w.cancel(id) }) // until then the customer is refused
+		return
+	}
+	if j := w.store[id]; j != nil {
+		j.cancelled = true
+	}
+	w.owner.handle(func() { w.owner.cancel(id) })
 }
 
 // cancelServing cancels the jobs of serving tasks, which would use capacity forever.
