Schedule, shard: each guard of unrecorded starts has a test

Cause: with single guards taken out, some tests still passed.

Change: conditions that others imply are gone; tests for dropped runs, small batches, moves, stuck runs; shard notes and counts unrecorded starts through an interface that a test can replace.

--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -112,11 +112,11 @@
 func (s *Scheduler) awaitsReport(w *Worker) bool { return s.hold != nil && !w.fullyReported }
 
 // unreportedWorkers returns the incarnations that have not reported yet and are not known to have
-// ended, sorted.
+// ended, sorted. An incarnation that is gone is not among the workers any more.
 func (s *Scheduler) unreportedWorkers() []pointport.IncarnationID {
 	var out []pointport.IncarnationID
 	for id, w := range s.workers {
-		if !w.ended && !w.fullyReported && !s.gone(w) {
+		if !w.ended && !w.fullyReported {
 			out = append(out, id)
 		}
 	}
--- a/schedule/hold_test.go
+++ b/schedule/hold_test.go
@@ -277,7 +277,7 @@
 		job *workload.Job
 		run pointport.TaskRun
 	}{
-		"job has not begun": {job("a", policy, step(1, 100, nil), step(1, 100, nil)), pointport.TaskRun{Task: "a.0.1.0", Run: 1}},
+		"job has not begun": {dueJob("a", policy, step(1, 100, nil), step(1, 100, nil)), pointport.TaskRun{Task: "a.0.1.0", Run: 1}},
 		"serving":           {begunJob("a", policy, step(1, 100, func(s *workload.Step) { s.Service = true })), pointport.TaskRun{Task: "a.0.1.0", Run: 1}},
 		"run 2":             {begunJob("a", policy, step(1, 100, nil)), pointport.TaskRun{Task: "a.0.1.0", Run: 2}},
 		"other task":        {begunJob("a", policy, step(1, 100, nil)), pointport.TaskRun{Task: "a.0.1.7", Run: 1}},
@@ -306,13 +306,20 @@
 	}
 }
 
+// dueJob returns a job whose tasks have been created and never given to an instance.
+func dueJob(id string, p workload.Policy, steps ...workload.Step) *workload.Job {
+	j := job(id, p, steps...)
+	j.BeginDue(start)
+	return j
+}
+
 // TestNewJobsAreNotHeldBack checks that jobs that were not stored as begun start at once on
 // instances that have reported, and nowhere else: the free capacity of the others is not known, even
 // if they have answered an order.
 func TestNewJobsAreNotHeldBack(t *testing.T) {
 	s := newSuccessor()
 	s.Add(start, begunJob("a", policy, step(1, 100, nil)))
-	s.Add(start, job("new", policy, step(5, 1000, nil)))
+	s.Add(start, dueJob("new", policy, step(5, 1000, nil)))
 	s.SetIncarnations(start, []pointport.Incarnation{incarnation(0), incarnation(1)})
 	s.Report(polledWorker(t, s, "i-0"), start, start, pointport.Report{Clock: 1})
 	s.OrderAnswered(stopOfUnknownRun(polledWorker(t, s, "i-1")), start, 1, nil)
--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -50,12 +50,13 @@
 // stored. The job must be stored as begun, because a successor holds back the tasks of such jobs
 // only.
 func (e *entry) mayStartUnrecorded(step *workload.Step, number int) bool {
-	return number == firstRun && e.begunStored && e.ended == "" && !e.job.Stopping() && startsUnrecorded(e.job, step)
+	return number == firstRun && e.begunStored && startsUnrecorded(e.job, step)
 }
 
-// mayRelease reports whether the start of a run may be sent before it is stored.
+// mayRelease reports whether the start of a run may be sent before it is stored. A run that was
+// dropped, with its job or its worker, is not on its worker any more.
 func (s *Scheduler) mayRelease(r *Run) bool {
-	return r.state == runUnstored && r.worker.runs[r.name] == r && !r.worker.ended && !r.detached() &&
+	return r.state == runUnstored && r.worker.runs[r.name] == r &&
 		r.entry.mayStartUnrecorded(r.step(), r.number) && r.entry.account.withinCap(pointport.Shape{})
 }
 
--- a/schedule/unrecorded_test.go
+++ b/schedule/unrecorded_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -239,10 +240,89 @@
 	}
 }
 
-// TestNoRunIsStoppedWhilePeerLeased checks that a serving task is not moved and a job of priority 0
-// takes no capacity from others while the store is unavailable: what was stopped could not start
-// again.
-func TestNoRunIsStoppedWhilePeerLeased(t *testing.T) {
+// TestDroppedRunIsNotReleased checks that a placed task does not start unrecorded once its job is
+// cancelled.
+func TestDroppedRunIsNotReleased(t *testing.T) {
+	s := newTestScheduler()
+	registerIdle(s, start, incarnation(0))
+	s.Add(start, begunJob("a", policy, step(1, 100, nil)))
+	s.SetPeerLeased(true)
+	s.Plan(start)
+	s.Cancel(start, "a")
+	if all := releaseUnrecorded(s, &schedule.Batch{}, start); len(all) != 0 {
+		t.Errorf("orders %+v, want none", all)
+	}
+}
+
+// TestReleasedJobsLeaveRoomAfterSmallBatch checks that jobs whose starts were released do not count
+// against the limit on jobs that wait for a small batch: no more than 24 jobs would go on during an
+// outage.
+func TestReleasedJobsLeaveRoomAfterSmallBatch(t *testing.T) {
+	s := newTestScheduler()
+	registerIdle(s, start, incarnation(0), incarnation(1))
+	const oneTransaction = 29
+	s.TakeBatch(oneTransaction)
+	s.SetPeerLeased(true)
+	for n := range 25 {
+		s.Add(start, begunJob(fmt.Sprintf("job%d", n), policy, step(1, 100, nil)))
+	}
+	started := 0
+	for range 3 {
+		s.Plan(start)
+		started += len(releaseUnrecorded(s, &schedule.Batch{}, start))
+	}
+	if started != 25 {
+		t.Errorf("%d starts, want all 25", started)
+	}
+	// Released starts among others do not count as jobs that wait.
+	s.SetPeerLeased(false)
+	s.Add(start, job("new0", policy, step(26, 10, nil)))
+	for n := range 30 {
+		s.Add(start, job(fmt.Sprintf("new%d", n+1), policy, step(1, 100, nil)))
+	}
+	s.Plan(start)
+	s.Stored(s.TakeBatch(everything), start)
+	if got := len(s.TakeOrders()); got != 26+23 {
+		t.Errorf("%d further starts, want those of 24 jobs", got)
+	}
+}
+
+// TestServingTasksStayWhilePeerLeased checks that no serving task moves off an instance that is being
+// emptied while the store is unavailable: it could not start elsewhere.
+func TestServingTasksStayWhilePeerLeased(t *testing.T) {
+	for _, peerLeased := range []bool{false, true} {
+		s := newTestScheduler()
+		registerIdle(s, start, incarnation(0))
+		s.Add(start, job("a", policy, servingStep(1, 1000, nil)))
+		acceptAndReport(s, start, orders(s, start))
+		now := start.Add(3 * time.Second)
+		registerNewIdle(s, now, incarnation(0), incarnation(1))
+		s.Survey(now, schedule.SurveyRequest{Closures: []schedule.Closure{{Instance: "m-0", Evacuate: true}}})
+		s.SetPeerLeased(peerLeased)
+		if got := countStops(orders(s, now)); (got == 0) != peerLeased {
+			t.Errorf("peer-leased %t: %d stops", peerLeased, got)
+		}
+	}
+}
+
+// TestStuckRunStaysWhilePeerLeased checks that a run without progress is not stopped while the store
+// is unavailable: its task could not start elsewhere.
+func TestStuckRunStaysWhilePeerLeased(t *testing.T) {
+	for _, peerLeased := range []bool{false, true} {
+		s, o := schedulerWithRun()
+		s.SetPeerLeased(peerLeased)
+		for at := 100 * time.Millisecond; at < 5*time.Second; at += 100 * time.Millisecond {
+			s.Report(o.Worker, start.Add(at), start.Add(at), progressed(o, at, 10))
+		}
+		if got := countStops(s.TakeOrders()); (got == 0) != peerLeased {
+			t.Errorf("peer-leased %t: %d stops", peerLeased, got)
+		}
+	}
+}
+
+// TestNothingIsPreemptedWhilePeerLeased checks that a job of priority 0 takes no capacity from others
+// while the store is unavailable: what was stopped could not start again.
+func TestNothingIsPreemptedWhilePeerLeased(t *testing.T) {
 	for _, peerLeased := range []bool{false, true} {
 		s := newTestScheduler()
 		registerIdle(s, start, incarnation(0))
@@ -257,11 +337,7 @@
 		s.SetPeerLeased(peerLeased)
 		stops := 0
 		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(100 * time.Millisecond) {
-			for _, o := range orders(s, now) {
-				if o.Kind == schedule.OrderStop {
-					stops++
-				}
-			}
+			stops += countStops(orders(s, now))
 		}
 		if (stops > 0) == peerLeased {
 			t.Errorf("peer-leased %t: %d stops", peerLeased, stops)
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -125,7 +125,7 @@
 	evacuations        func() evacuation.Zones
 	logger             *slog.Logger
 	ownership          member.Ownership
-	peerLeased         func() bool // whether the ownership is proven by peer leases alone
+	peerLease          peerLease
 	lease              time.Duration
 	maxHold            time.Duration
 	gangTimeout        time.Duration
@@ -211,7 +211,7 @@
 		polls: make(map[*schedule.Worker]*pollState), queues: make(map[*schedule.Worker]*workerQueue), window: newWindow(), cancel: cancel,
 		unreadable: make(map[string]bool),
 	}
-	o.peerLeased = ownership.PeerLeased
+	o.peerLease = ownership
 	for _, option := range options {
 		option(o)
 	}
@@ -337,7 +337,7 @@
 	if o.ownership.Proven() {
 		o.scheduler.LimitUnstoredStarts(o.maxNewStarts())
 		o.applyCaps(ctx)
-		o.scheduler.SetPeerLeased(o.peerLeased())
+		o.scheduler.SetPeerLeased(o.peerLease.PeerLeased())
 		o.scheduler.Plan(now)
 		o.updateBacklogRefusals(now)
 		cost := o.clock.Now().Sub(now)
--- a/shard/unrecorded.go
+++ b/shard/unrecorded.go
@@ -5,13 +5,21 @@
 // This file defines how starts are sent before they are stored, while the owner is proven by peer
 // leases alone.
 
+// A peerLease is the part of an ownership that concerns unrecorded starts.
+type peerLease interface {
+	// PeerLeased reports whether the ownership is proven by peer leases alone.
+	PeerLeased() bool
+	// NoteUnrecorded records whether starts are unrecorded.
+	NoteUnrecorded(unrecorded bool)
+}
+
 // releaseUnrecorded releases the starts that may be sent before they are stored.
 func (o *Owner) releaseUnrecorded(now time.Time) {
 	if !o.scheduler.MayReleaseUnrecorded(&o.storing) {
 		return
 	}
 	o.noteUnrecorded(true)
-	if !o.peerLeased() {
+	if !o.peerLease.PeerLeased() {
 		return // a change of standbys may have begun before it was noted
 	}
 	o.scheduler.ReleaseUnrecorded(&o.storing, now)
@@ -25,5 +33,5 @@
 		return
 	}
 	o.notedUnrecorded = unrecorded
-	o.ownership.NoteUnrecorded(unrecorded)
+	o.peerLease.NoteUnrecorded(unrecorded)
 }
