Evacuations are read only where the settings say how soon they must be in force

Owners read the requests once a second on every deployment, also where operators cannot evacuate an availability zone, and started nothing once they could not read them for 3 s.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -11,10 +11,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/subcommands"
 
 	"github.com/pointport/pointport/operator"
+	"github.com/pointport/pointport/platform"
 )
 
 // runCommand runs a subcommand and returns its exit code, output and errors.
@@ -124,6 +126,16 @@
 	}
 }
 
+// Guards against owners that read requests for evacuations, and stop starting tasks in an outage of
+// the store, on a platform that does not evacuate availability zones.
+func TestEvacuationsAreReadOnlyWhereTheSettingsHaveABound(t *testing.T) {
+	for within, prefix := range map[time.Duration]string{0: "", 5 * time.Second: platform.EvacuationPrefix} {
+		if got := evacuationSource(&platform.Settings{EvacuationTime: within}).Prefix; got != prefix {
+			t.Errorf("with a bound of %v requests are read under %q, want %q", within, got, prefix)
+		}
+	}
+}
+
 // TestJoinPage checks that docs/operators/platform.md lists every flag of the subcommand that runs
 // an entry instance, with its help text.
 func TestJoinPage(t *testing.T) {
--- a/cli/join.go
+++ b/cli/join.go
@@ -141,7 +141,7 @@
 			Source: node.Source[capacity.Wave]{Prefix: platform.WavePrefix, Decode: platform.DecodeWave},
 			Status: platform.EncodeWaveStatus,
 		},
-		Evacuations: node.Source[evacuation.Request]{Prefix: platform.EvacuationPrefix, Decode: platform.DecodeEvacuation},
+		Evacuations: evacuationSource(s),
 		Ingress: func(n *node.Node) http.Handler {
 			forCaller := func(c customer.Caller) platform.JobService { return n.Intake().ForCaller(c) }
 			keys := platform.KeyState{Trusted: n.KeysTrusted, UpToDate: n.KeysNewest}
@@ -180,6 +180,16 @@
 	return n, nil
 }
 
+// evacuationSource returns where operators' requests to evacuate availability zones are. There are
+// none if the settings do not say how soon one must be in force: owners then need not read them, nor
+// stop starting tasks while they cannot.
+func evacuationSource(s *platform.Settings) node.Source[evacuation.Request] {
+	if s.EvacuationTime == 0 {
+		return node.Source[evacuation.Request]{}
+	}
+	return node.Source[evacuation.Request]{Prefix: platform.EvacuationPrefix, Decode: platform.DecodeEvacuation}
+}
+
 // addGauges adds the metrics whose values are read when the metrics are requested.
 func addGauges(m *meter.Meter, n *node.Node, limiter *event.RateLimiter, sink *event.Sink) {
 	boolGauge := func(value func() bool) func() float64 {
