Peer leases: members, their requests and the setting

An owner that the store does not serve cannot tell an outage for all members from its own isolation, and stops after a second. Package peerlease has the decisions; nothing used them.

Two rules are added to package peerlease: a former owner gets no lease once its successor is known, and the standby key tells that starts of an earlier owner are not settled yet.

--- a/cli/join.go
+++ b/cli/join.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/capacity"
@@ -23,6 +24,7 @@
 	"github.com/pointport/pointport/node"
 	"github.com/pointport/pointport/operator"
 	"github.com/pointport/pointport/peer"
+	"github.com/pointport/pointport/peerlease"
 	"github.com/pointport/pointport/platform"
 	"github.com/pointport/pointport/schedule"
 	"github.com/pointport/pointport/shard"
@@ -38,8 +40,10 @@
 	c := newCommand("join", "", "run an entry instance on the users' platform")
 	var path string
 	var metricsPort int
+	var peerLeaseLimit time.Duration
 	c.set.String(&path, "settings", "", "path of the settings file that the platform lays")
 	c.set.Int(&metricsPort, "metrics-port", 0, "port on which figures are served at the process's own IP address; 0 takes the second of the internal ports", 0, 65535)
+	c.set.Duration(&peerLeaseLimit, "peer-lease-limit", 0, "how long an owner of a pool may go on by leases of its peers while the store is unavailable to all members, counted from the end of its proof by the store; 0 is off", 0, peerlease.MaxLimit)
 	c.run = func(ctx context.Context, _ io.Writer, args []string) error {
 		if err := requireArgs(args, 0, "no arguments"); err != nil {
 			return err
@@ -55,7 +59,7 @@
 		defer cancel()
 		sink := event.StartSink(os.Stdout, clock.System{})
 		defer sink.Close()
-		n, err := startNode(runCtx, s, sink)
+		n, err := startNode(runCtx, s, peerLeaseLimit, sink)
 		if err != nil {
 			return err
 		}
@@ -119,7 +123,7 @@
 
 // startNode starts a node that uses the services named in the settings, and registers the
 // node's metrics.
-func startNode(ctx context.Context, s *platform.Settings, sink *event.Sink) (*node.Node, error) {
+func startNode(ctx context.Context, s *platform.Settings, peerLeaseLimit time.Duration, sink *event.Sink) (*node.Node, error) {
 	m := meter.New(clock.System{})
 	limiter := event.NewRateLimiter(slog.NewJSONHandler(sink, nil), clock.System{})
 	logger := slog.New(m.Events(limiter)).With(slog.String("node", s.Name))
@@ -162,7 +166,7 @@
 	n, err := node.Start(ctx, services, node.Parameters{
 		Name: s.Name, Zone: s.Zone, Strength: strength(s),
 		Addresses: node.Addresses{Clients: s.Clients, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics},
-		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), TaskLease: min(shard.DefaultLease, s.MaxHold), MaxHold: s.MaxHold, Grace: s.Grace,
+		LeaseTTL:  max(member.DefaultTTL, s.MinLeaseTTL), PeerLeaseLimit: peerLeaseLimit, TaskLease: min(shard.DefaultLease, s.MaxHold), MaxHold: s.MaxHold, Grace: s.Grace,
 		GangTimeout: s.GangTime, RemoteDataSlowdown: s.FarFactor, MinHolderInterval: s.HolderTime, MachineOrdersPerSecond: s.MachineCalls,
 		Capacity: capacity.Settings{MoveTime: s.MoveTime, MaintenanceTime: s.UpkeepTime}, LowMemory: memory.NearLimit,
 		Keys: node.KeyPolicy{Strict: s.StrictKeys, MaxConfigAge: s.KeyTime}, ConfigApplyTime: s.ConfigTime, EvacuationTime: s.EvacuationTime,
@@ -193,6 +197,12 @@
 	m.Gauge("pointport_lease_proven", "Whether the lease at the store has surely not ended.", boolGauge(n.LeaseProven))
 	m.Gauge("pointport_members", "Entry instances that this one knows, itself among them.", func() float64 { return float64(n.Members()) })
 	m.Gauge("pointport_pools_owned", "Pools that this entry instance owns, the steward's post among them.", func() float64 { return float64(n.Owned()) })
+	peerLeases := func(choose func(granted, refused, inUse int64) int64) func() float64 {
+		return func() float64 { return float64(choose(n.PeerLeases())) }
+	}
+	m.Gauge("pointport_pools_peer_leased", "Pools that this entry instance owns by peer leases, because the store does not confirm it.", peerLeases(func(_, _, inUse int64) int64 { return inUse }))
+	m.Counter("pointport_peer_leases_granted_total", "Peer leases that this entry instance has granted.", peerLeases(func(granted, _, _ int64) int64 { return granted }))
+	m.Counter("pointport_peer_leases_refused_total", "Requests for peer leases that this entry instance has refused.", peerLeases(func(_, refused, _ int64) int64 { return refused }))
 	m.Gauge("pointport_zones_evacuated", "Availability zones in which this entry instance starts nothing because operators ask for it, as far as it needs to know.", func() float64 { return float64(n.EvacuatedZones()) })
 	m.Gauge("pointport_owner_lag_seconds", "Longest time in the last second that something waited for the owner of a pool here.", func() float64 { return n.Load().Lag.Seconds() })
 	m.Gauge("pointport_starts_window", "Starts that an owner here may have under way, the smallest of its pools; 0 without one.", func() float64 { return float64(n.Load().Window) })
--- a/member/pool_manager.go
+++ b/member/pool_manager.go
@@ -79,6 +79,9 @@
 	pools   func() []string
 	start   func(Ownership) T
 	logger  *slog.Logger
+	// vacancies decides when a pool may be taken; nil if pools are owned without peer leases.
+	vacancies *vacancies
+	ctx       context.Context // ends with the pool manager
 
 	// lastCheckDuration is how long the last call took that checked an ownership. Only the
 	// loop uses it.
@@ -97,14 +100,31 @@
 	stopped    bool
 }
 
+// poolManagerOptions are the options of a pool manager.
+type poolManagerOptions struct{ peerLeases bool }
+
+// PoolManagerOption changes how a pool manager works.
+type PoolManagerOption func(*poolManagerOptions)
+
+// UsePeerLeases makes the pool manager own its pools with peer leases, if the roster has them.
+func UsePeerLeases() PoolManagerOption { return func(o *poolManagerOptions) { o.peerLeases = true } }
+
 // StartPoolManager returns a pool manager that works until ctx ends. pools returns the names
 // of all pools, and start starts the controller of a pool.
-func StartPoolManager[T Controller](ctx context.Context, clock pointport.Clock, session *Session, roster *Roster, pools func() []string, start func(Ownership) T, logger *slog.Logger) *PoolManager[T] {
+func StartPoolManager[T Controller](ctx context.Context, clock pointport.Clock, session *Session, roster *Roster, pools func() []string, start func(Ownership) T, logger *slog.Logger, options ...PoolManagerOption) *PoolManager[T] {
+	var opts poolManagerOptions
+	for _, o := range options {
+		o(&opts)
+	}
 	m := &PoolManager[T]{
 		clock: clock, session: session, roster: roster, pools: pools, start: start, logger: logger,
 		controllers: make(map[string]T), unownedSince: make(map[string]time.Time), startedAt: make(map[string]time.Time),
 		avoidedUntil: make(map[string]time.Time),
 		lastFences:   make(map[string]pointport.Fence),
+		ctx:          ctx,
+	}
+	if opts.peerLeases && roster.leases != nil {
+		m.vacancies = newVacancies(roster)
 	}
 	go func() {
 		for ctx.Err() == nil {
@@ -174,7 +194,7 @@
 		maxRank = 2 * standbyCount
 	}
 	for _, pool := range m.pools() {
-		if _, unowned := m.unownedSince[pool]; !unowned && m.roster.Rank(pool) < maxRank {
+		if _, unowned := m.unownedSince[pool]; !unowned && (m.roster.Rank(pool) < maxRank || m.vacancies != nil && m.roster.isListedStandby(pool)) {
 			return true
 		}
 	}
@@ -200,6 +220,7 @@
 				m.roster.removeOwner(c.Ownership())
 			}
 			delete(m.controllers, pool)
+			m.vacancies.giveUp(pool)
 		default:
 		}
 	}
@@ -217,6 +238,9 @@
 		// The owner key is under this member's lease because the answer to a Take was lost or
 		// a Release did not take effect. The ownership is not proven until it is checked.
 		return m.startOrRelease(ctx, m.roster.newOwnership(pool, holding.Fence, holding.Revision, time.Time{}))
+	case running && c.Ownership().PeerLeased():
+		// No other member can take the pool at present.
+		return m.check(ctx, c)
 	case running && now.Sub(m.startedAt[pool]) > minOwnershipTime && shouldHandOver(c) && len(m.roster.Peers()) > 0:
 		event.PoolHandedOff.Log(m.logger, slog.String("pool", pool))
 		m.avoidedUntil[pool] = now.Add(avoidFor)
@@ -229,13 +253,23 @@
 		return m.check(ctx, c)
 	case owned:
 		delete(m.unownedSince, pool)
+		m.vacancies.noteOwned(pool)
 		return checkInterval
 	}
+	return m.manageUnowned(ctx, pool, now)
+}
+
+// manageUnowned handles a pool that has no owner, and returns how long to wait until it must be
+// handled again.
+func (m *PoolManager[T]) manageUnowned(ctx context.Context, pool string, now time.Time) time.Duration {
+	m.vacancies.noteAbsent(pool)
 	if !m.session.Proven() {
+		m.vacancies.giveUp(pool)
 		return checkInterval
 	}
 	takeTime, only := m.takeTime(pool, now)
 	if left := takeTime.Sub(now); left > 0 {
+		m.vacancies.giveUp(pool)
 		return min(left, checkInterval)
 	}
 	if only && !m.roster.Enrolled() {
@@ -271,13 +305,21 @@
 	default:
 		since = complete
 	}
-	at = since.Add(time.Duration(m.roster.Rank(pool)) * rankDelay)
+	at = since.Add(time.Duration(m.rank(pool)) * rankDelay)
 	if now.Before(m.avoidedUntil[pool]) {
 		at = at.Add(avoidDelay)
 	}
 	return at, only
 }
 
+// rank returns how many members should take a pool before this one.
+func (m *PoolManager[T]) rank(pool string) int {
+	if m.vacancies == nil {
+		return m.roster.Rank(pool)
+	}
+	return m.roster.takeoverRank(pool)
+}
+
 // deferToStandbys reports whether a pool that had another owner must first be left to its
 // standbys; complete is how long the roster had been complete when the pool lost its owner. If
 // the standbys are missing as well, the store may have been unreachable just long enough for
@@ -333,10 +375,18 @@
 }
 
 func (m *PoolManager[T]) take(ctx context.Context, pool string) time.Duration {
-	own, err := m.roster.Take(ctx, pool)
+	var t *takeover
+	if m.vacancies != nil {
+		var wait time.Duration
+		if t, wait = m.vacancies.decide(ctx, pool); t == nil {
+			return wait
+		}
+	}
+	own, err := m.roster.take(ctx, pool, t)
 	if err == nil {
 		return m.startOrRelease(ctx, own)
 	}
+	m.vacancies.giveUp(pool)
 	var conflict *pointport.TxnConflictError
 	if !errors.As(err, &conflict) && !errors.Is(err, ErrNoLease) {
 		event.PoolLost.Log(m.logger, slog.String("pool", pool), slog.Any("reason", err))
@@ -351,10 +401,19 @@
 // pool if it may not be started. It returns how long to wait until the pool must be handled
 // again.
 func (m *PoolManager[T]) startOrRelease(ctx context.Context, own Ownership) time.Duration {
+	if m.vacancies != nil {
+		own = m.roster.withLeases(own)
+		// The transaction may have been carried out seconds after it was sent, so that another owner
+		// has got a lease since.
+		if wait := m.roster.leases.beginTakeover(own.Pool); wait > 0 {
+			return wait // this member then finds itself owner by the roster
+		}
+	}
 	if m.startController(own) {
 		return time.Millisecond
 	}
 	m.release(ctx, own)
+	m.vacancies.giveUp(own.Pool)
 	return rankDelay
 }
 
@@ -379,7 +438,15 @@
 	event.PoolTaken.Log(m.logger, slog.String("pool", own.Pool), slog.Int64("fence", int64(own.Fence)))
 	delete(m.unownedSince, own.Pool)
 	m.startedAt[own.Pool] = m.clock.Now()
-	m.controllers[own.Pool] = m.start(own)
+	if m.vacancies != nil {
+		m.vacancies.forget(own.Pool)
+		m.roster.leases.noteOwnership(own)
+	}
+	c := m.start(own)
+	m.controllers[own.Pool] = c
+	if m.vacancies != nil {
+		go m.roster.keepProven(m.ctx, own, c.Done())
+	}
 	return true
 }
 
--- a/member/rank.go
+++ b/member/rank.go
@@ -32,11 +32,16 @@
 func (r *Roster) Rank(pool string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.rank(pool, func(Member) bool { return true })
+}
+
+// rank is Rank among the members for which eligible returns true. The lock must be held.
+func (r *Roster) rank(pool string, eligible func(Member) bool) int {
 	poolCounts := r.poolCounts()
 	own := load(r.self, poolCounts[r.self.Name]+1)
 	rank := 0
 	for name, m := range r.members {
-		if name == r.self.Name {
+		if name == r.self.Name || !eligible(m) {
 			continue
 		}
 		other := load(m, poolCounts[name]+1)
--- a/member/roster.go
+++ b/member/roster.go
@@ -22,6 +22,9 @@
 	rosterPrefix = "roster/"
 	memberPrefix = rosterPrefix + "member/"
 	ownerPrefix  = rosterPrefix + "owner/"
+	// standbyPrefix is the prefix of the keys that name each pool's standbys, as a
+	// peerlease.Document.
+	standbyPrefix = rosterPrefix + "standby/"
 )
 
 // Member describes an entry instance. It is stored as JSON, so its fields are exported.
@@ -31,6 +34,9 @@
 	Zone pointport.ZoneID `json:"zone"`
 	// Strength is how much work the member can do in proportion to the others.
 	Strength float64 `json:"strength"`
+	// Process identifies the process, and shows that it grants peer leases. It is empty for a member
+	// of an earlier version.
+	Process string `json:"process,omitempty"`
 }
 
 // owner is the owner of a pool, with the entry that names it.
@@ -46,11 +52,16 @@
 	session *Session
 	self    Member
 	logger  *slog.Logger
+	// leases holds the state of peer leases; nil if this member takes no part in them.
+	leases *peerLeases
 
 	mu        sync.Mutex
 	members   map[string]Member
 	owners    map[string]owner
-	lastOwner map[string]string // by pool, the name of the last known owner
+	lastOwner map[string]string         // by pool, the name of the last known owner
+	documents map[string]storedDocument // by pool, the standby keys
+	// allGrant reports whether all other members grant peer leases.
+	allGrant bool
 	// unreadable holds the revision of each key whose value cannot be decoded.
 	unreadable   map[string]pointport.Revision
 	pendingTakes int // number of pools that this member is about to take
@@ -62,11 +73,15 @@
 
 // StartRoster returns a roster that follows the store, and keeps this member listed in it,
 // until ctx ends.
-func StartRoster(ctx context.Context, kv pointport.KV, clock pointport.Clock, session *Session, self Member, logger *slog.Logger) *Roster {
+func StartRoster(ctx context.Context, kv pointport.KV, clock pointport.Clock, session *Session, self Member, logger *slog.Logger, options ...RosterOption) *Roster {
 	r := &Roster{
 		kv: kv, clock: clock, session: session, self: self, logger: logger,
 		members: make(map[string]Member), owners: make(map[string]owner), lastOwner: make(map[string]string),
 		unreadable: make(map[string]pointport.Revision), changed: make(chan struct{}),
+		documents: make(map[string]storedDocument),
+	}
+	for _, o := range options {
+		o(r)
 	}
 	session.setLeaseInUse(r.leaseInUse)
 	go Follow(ctx, kv, clock, rosterPrefix, r.reset, r.apply, RereadOn(session.Recovered), WatchTimeout(r.watchTimeout), RereadInterval(r.rereadInterval), PauseAfterChanges(r.changePause))
@@ -170,6 +185,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members, r.owners = make(map[string]Member), make(map[string]owner)
+	r.documents = make(map[string]storedDocument)
 	for _, e := range all {
 		r.applyEntry(e)
 	}
@@ -187,12 +203,17 @@
 }
 
 func (r *Roster) notify() {
+	r.allGrant = r.allMembersGrant()
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
 // applyEntry applies the state of one key. The lock must be held.
 func (r *Roster) applyEntry(e pointport.Entry) {
+	if pool, ok := strings.CutPrefix(e.Key(), standbyPrefix); ok {
+		r.applyDocument(pool, e)
+		return
+	}
 	var m Member
 	if e.Exists() {
 		if err := decodeMember(e, &m); err != nil {
@@ -214,6 +235,7 @@
 			}
 			r.owners[pool] = owner{m, e}
 			r.lastOwner[pool] = m.Name
+			r.leases.noteOwner(pool, pointport.Fence(e.Created()))
 		} else {
 			delete(r.owners, pool)
 		}
--- a/member/session.go
+++ b/member/session.go
@@ -77,6 +77,7 @@
 	provenUntil    time.Time         // steady-clock time until which the lease cannot have ended
 	lastAnswered   time.Time         // steady-clock time at which the last answered call was made
 	lastFailed     bool              // whether the last call failed
+	callingSince   time.Time         // steady-clock time since when a call is in flight, zero if none is
 	shortUntil     time.Time         // steady-clock time until which a short lease is needed
 	// exchanging is true while the lease is being exchanged.
 	exchanging bool
@@ -100,8 +101,10 @@
 	go func() {
 		for ctx.Err() == nil {
 			call, cancel := context.WithTimeout(ctx, ttl/2)
+			s.noteCall(true)
 			err := s.renewOrGrant(call)
 			s.reportReachability(ctx, err)
+			s.noteCall(false)
 			cancel()
 			select {
 			case <-clock.After(s.pause(err)):
@@ -179,6 +182,39 @@
 	return s.recovered
 }
 
+// answeringTimeout is how long a call may be without an answer until the store counts as not
+// answering for peer leases. It answers within 30 ms; an owner has half a second to get all leases.
+const answeringTimeout = 100 * time.Millisecond
+
+// answering reports whether the store answers this member, by the call that is in flight or by the
+// last one. If the last answer is old, it starts another call, so that the next answer to the same
+// question is based on it. It notices an outage sooner than Reachable, and being wrong does no harm.
+func (s *Session) answering() bool {
+	s.mu.Lock()
+	now := s.clock.Steady()
+	overdue := !s.callingSince.IsZero() && now.Sub(s.callingSince) >= answeringTimeout
+	answers := !s.lastFailed && !overdue
+	probe := s.callingSince.IsZero() && now.Sub(s.lastAnswered) >= answeringTimeout
+	s.mu.Unlock()
+	if probe {
+		select {
+		case s.wake <- struct{}{}:
+		default: // the loop is about to run anyway
+		}
+	}
+	return answers
+}
+
+// noteCall notes that a call has started, or that none is in flight any more.
+func (s *Session) noteCall(inFlight bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callingSince = time.Time{}
+	if inFlight {
+		s.callingSince = s.clock.Steady()
+	}
+}
+
 // renewOrGrant renews the lease, exchanges it if its TTL should change, or requests a new one
 // if there is none.
 func (s *Session) renewOrGrant(ctx context.Context) error {
--- a/member/writer.go
+++ b/member/writer.go
@@ -16,9 +16,9 @@
 // key, so that a delayed transaction cannot undo a later one.
 
 const (
-	// TxnOverhead is how many entries of a transaction the owner key and the head key use: two
-	// conditions and a put.
-	TxnOverhead = 3
+	// TxnOverhead is how many entries of a transaction the keys of the pool use: conditions on the
+	// owner key and the head key, and puts of the head key and of the standby key.
+	TxnOverhead = 4
 	// minWriteRetryDelay is the delay before a transaction is first sent again to a store that
 	// gave no answer. It doubles with each delay, up to maxWriteRetryDelay.
 	minWriteRetryDelay = 20 * time.Millisecond
@@ -43,6 +43,8 @@
 	// pending is the last transaction while it is not known whether it was committed.
 	pending     *pointport.Txn
 	pendingHead string // value of the head key that pending writes
+	// change is the change of the standby key that pending contains; nil if there is none.
+	change *documentChange
 }
 
 // NewWriter returns a writer for an ownership.
@@ -87,6 +89,12 @@
 		pointport.Condition{Key: OwnerKey(w.own.Pool), Revision: w.own.Revision},
 		pointport.Condition{Key: HeadKey(w.own.Pool), Revision: w.head})
 	txn.Put = append(txn.Put, pointport.Put{Key: HeadKey(w.own.Pool), Value: pendingHead})
+	if leases := w.own.proof.leases; leases != nil {
+		var known pointport.Revision
+		if w.change, known = leases.begin(w.own); w.change != nil {
+			w.change.addTo(&txn, known)
+		}
+	}
 	w.pending, w.pendingHead = &txn, string(pendingHead)
 	return w.sendPending(ctx)
 }
@@ -99,7 +107,7 @@
 		revision, err := w.kv.Commit(ctx, *w.pending)
 		if err == nil {
 			w.own.prove(from)
-			w.head, w.pending = revision, nil
+			w.committed(revision)
 			return nil
 		}
 		var conflict *pointport.TxnConflictError
@@ -118,12 +126,21 @@
 	}
 }
 
+// committed notes that the pending transaction was committed at a revision.
+func (w *Writer) committed(at pointport.Revision) {
+	w.head, w.pending = at, nil
+	if w.change != nil {
+		w.own.proof.leases.end(w.change, at)
+		w.change = nil
+	}
+}
+
 // resolveConflict determines whether an earlier attempt has committed the pending transaction
 // or another owner has taken over.
 func (w *Writer) resolveConflict(conflict *pointport.TxnConflictError) error {
 	for _, e := range conflict.Entries {
 		if e.Key() == HeadKey(w.own.Pool) && string(e.Value()) == w.pendingHead {
-			w.head, w.pending = e.Revision(), nil
+			w.committed(e.Revision())
 			return nil
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -88,6 +88,9 @@
 	Strength float64
 	// LeaseTTL is the time to live of the node's lease in the store.
 	LeaseTTL time.Duration
+	// PeerLeaseLimit is for how long an owner may rely on peer leases after its proof by the store
+	// has ended; zero means that it never does.
+	PeerLeaseLimit time.Duration
 	// TaskLease is how far into the future the leases of running tasks are extended.
 	TaskLease time.Duration
 	// MaxHold is how long an instance runs tasks without receiving another order.
@@ -162,11 +165,11 @@
 	n.peerClient = &http.Client{Transport: transport}
 	n.session = member.StartSession(ctx, s.KV, s.Clock, p.LeaseTTL, logger)
 	self := member.Member{Name: p.Name, Peer: cmp.Or(p.PeerName, p.Addresses.Peers), Zone: p.Zone, Strength: p.Strength}
-	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger)
+	n.roster = member.StartRoster(ctx, s.KV, s.Clock, n.session, self, logger, member.WithPeerLeases(peer.NewLeaseClient(n.peerClient), p.PeerLeaseLimit))
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, n.roster.Size, cmp.Or(p.ConfigApplyTime, DefaultConfigApplyTime), logger)
 	n.registrations = newRegistrations(ctx, s.KV, s.Clock, s.Registrations, logger)
 	n.evacuations = newEvacuations(ctx, s.KV, s.Clock, s.Evacuations, cmp.Or(p.EvacuationTime, DefaultEvacuationTime), logger)
-	n.poolManager = member.StartPoolManager(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger)
+	n.poolManager = member.StartPoolManager(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger, member.UsePeerLeases())
 	n.owners = peer.NewOwnerClient(n.poolManager, n.roster, n.peerClient, s.Clock, logger)
 	if s.Machines != nil {
 		n.startSteward(ctx, n.owners)
@@ -298,7 +301,7 @@
 // to instances for them.
 func (n *Node) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/", peer.Handler(n.poolManager, n.intake, n.logger))
+	mux.Handle("/", peer.Handler(n.poolManager, n.intake, n.roster, n.logger))
 	mux.Handle("POST "+delegate.Path, delegate.Handler(n.services.Executor, n.logger))
 	return mux
 }
@@ -350,6 +353,10 @@
 	return owned
 }
 
+// PeerLeases returns how many peer leases the node has granted and refused, and how many of its pools
+// are owned only by peer leases at present.
+func (n *Node) PeerLeases() (granted, refused, inUse int64) { return n.roster.PeerLeaseCounts() }
+
 // EvacuatedZones returns how many availability zones are evacuated according to the last read
 // of the requests. The node reads them only while it owns something.
 func (n *Node) EvacuatedZones() int { return n.evacuations.Count() }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -233,9 +233,10 @@
 }
 
 // Handler returns the server for these requests. It answers for the owners that manager runs,
-// and stores jobs for members that cannot.
-func Handler(manager *member.PoolManager[*shard.Owner], store Store, logger *slog.Logger) http.Handler {
+// stores jobs for members that cannot, and answers for the peer leases that this member grants.
+func Handler(manager *member.PoolManager[*shard.Owner], store Store, leases LeaseServer, logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
+	handleLeases(mux, leases)
 	mux.HandleFunc("POST "+storeJobPath, func(w http.ResponseWriter, r *http.Request) { handleStoreJob(w, r, store, logger) })
 	mux.HandleFunc("POST "+canStorePath, func(w http.ResponseWriter, _ *http.Request) {
 		// A client that has stopped waiting needs no answer.
--- a/peerlease/document.go
+++ b/peerlease/document.go
@@ -19,6 +19,11 @@
 	ownerDuration = 900 * time.Millisecond
 	// boundMargin is added to the bound after which a pool is free although nobody answers.
 	boundMargin = 500 * time.Millisecond
+	// MaxLimit is the longest time for which an owner may use peer leases after its proof by the
+	// store has ended.
+	MaxLimit = 8 * time.Second
+	// MaxBound is the Bound of a document with the longest limit and the shortest lease in the store.
+	MaxBound = MaxLimit + 2*time.Second + boundMargin
 )
 
 // A Process identifies one process of a member. Its fields are exported because it is encoded as
@@ -38,6 +43,10 @@
 	// which is the revision of that transaction.
 	Fence    pointport.Fence `json:"fence,omitempty"`
 	Standbys []Process       `json:"standbys"`
+	// Inherited reports that the owner's predecessor may have started tasks that are not recorded in
+	// the store, and that the owner has not settled them yet. A successor must not rely on what the
+	// standbys say about this owner's starts then.
+	Inherited bool `json:"inherited,omitempty"`
 	// Bound is how long after its owner key is gone the owner may hold peer leases, at most.
 	Bound time.Duration `json:"bound"`
 }
--- a/peerlease/grants.go
+++ b/peerlease/grants.go
@@ -25,7 +25,7 @@
 	RefusalProcess  Refusal = "another process was asked"
 	RefusalStore    Refusal = "the store answers"
 	RefusalTakeover Refusal = "the pool is being taken over"
-	RefusalFence    Refusal = "a takeover from this owner was allowed"
+	RefusalFence    Refusal = "a takeover from this owner was allowed, or the pool has a later owner"
 )
 
 // Grants holds the leases that one process has granted. It is safe for concurrent use.
@@ -42,7 +42,8 @@
 	until time.Time // until when a lease is granted
 	// granted is the highest fence of an owner that was ever granted a lease.
 	granted pointport.Fence
-	// refused is the highest fence of an owner from which a takeover was allowed.
+	// refused is the highest fence of an owner from which a takeover was allowed, or that is known
+	// to have been succeeded.
 	refused pointport.Fence
 	// takingOver reports whether this member is taking the pool or owns it.
 	takingOver bool
@@ -121,6 +122,16 @@
 	return g.pool(pool).granted >= fence
 }
 
+// NoteOwner notes that a pool has or had an owner with a fence. From then on owners with lower fences
+// get no leases: otherwise a former owner that was isolated while the pool changed owners twice could
+// prove itself by its former standbys.
+func (g *Grants) NoteOwner(pool string, fence pointport.Fence) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pool(pool)
+	p.refused = max(p.refused, fence-1)
+}
+
 // remaining returns for how much longer a granted lease lasts. The lock must be held.
 func (g *Grants) remaining(p *poolGrants) time.Duration {
 	return max(0, p.until.Sub(g.clock.Steady()))
--- a/peerlease/takeover.go
+++ b/peerlease/takeover.go
@@ -86,6 +86,13 @@
 // Verdict returns when the process self, which was started at the given time, may take the pool. A
 // standby must besides wait for the leases that it has granted itself, see Grants.BeginTakeover.
 func (v *Vacancy) Verdict(now time.Time, self Process, started time.Time) Verdict {
+	out := v.verdict(now, self, started)
+	out.Recorded = out.Recorded && (v.Document == nil || !v.Document.Inherited)
+	return out
+}
+
+// verdict is Verdict without the starts of the former owner's predecessor.
+func (v *Vacancy) verdict(now time.Time, self Process, started time.Time) Verdict {
 	d := v.Document
 	switch {
 	case d == nil:
