--- a/member/vacancies.go
+++ b/member/vacancies.go
@@ -85,18 +85,18 @@
 	if v == nil {
 		return
 	}
-	stored := v.roster.document(pool)
+	stored, now := v.roster.document(pool), v.leases.clock.Steady()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.get(pool, stored)
+	v.get(pool, stored, now)
 }
 
 // get returns the vacancy of a pool, a new one if the standby key has changed. The lock must be
 // held.
-func (v *vacancies) get(pool string, stored storedDocument) *vacancy {
+func (v *vacancies) get(pool string, stored storedDocument, now time.Time) *vacancy {
 	known := v.byPool[pool]
 	if known == nil || known.revision != stored.revision {
-		known = &vacancy{revision: stored.revision, facts: peerlease.Vacancy{Since: v.leases.clock.Steady()}}
+		known = &vacancy{revision: stored.revision, facts: peerlease.Vacancy{Since: now}}
 		if stored.revision != 0 {
 			known.facts.Document = &stored.document
 		}
@@ -107,32 +107,32 @@
 
 // decide returns how this member takes a pool, or nil and how long to wait until the next decision.
 func (v *vacancies) decide(ctx context.Context, pool string) (*takeover, time.Duration) {
-	stored := v.roster.document(pool)
+	stored, now := v.roster.document(pool), v.leases.clock.Steady()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	known, now := v.get(pool, stored), v.leases.clock.Steady()
+	known := v.get(pool, stored, now)
 	fence := stored.document.Fence
 	known.facts.Granted = v.leases.grants.Granted(pool, fence)
 	known.facts.Recorded = v.leases.recorded(pool, fence)
 	verdict := known.facts.Verdict(now, v.leases.self, v.leases.started)
 	if wait := verdict.At.Sub(now); wait > 0 {
 		if verdict.Ask && now.Sub(known.askedAt) >= takeoverAskInterval {
-			v.ask(ctx, pool, known)
+			v.ask(ctx, pool, known, now)
 		}
-		v.logWait(pool, known, wait, verdict.Reason)
+		v.logWait(pool, known, wait, now, verdict.Reason)
 		v.leases.endTakeover(pool)
 		return nil, min(wait, takeoverAskInterval)
 	}
 	if v.mustAsk(known, verdict) {
 		if !known.asking {
-			v.ask(ctx, pool, known)
+			v.ask(ctx, pool, known, now)
 		}
-		v.logWait(pool, known, takeoverTimeout, "it is not known whether all starts are recorded")
+		v.logWait(pool, known, takeoverTimeout, now, "it is not known whether all starts are recorded")
 		v.leases.endTakeover(pool)
 		return nil, takeoverTimeout
 	}
 	if wait := v.leases.beginTakeover(pool); wait > 0 {
-		v.logWait(pool, known, wait, "a lease that this member has granted lasts")
+		v.logWait(pool, known, wait, now, "a lease that this member has granted lasts")
 		return nil, wait
 	}
 	return v.roster.newTakeover(pool, stored, !verdict.Recorded)
@@ -160,20 +160,20 @@
 }
 
 // logWait logs why a pool is not taken yet, once for each reason. The lock must be held.
-func (v *vacancies) logWait(pool string, known *vacancy, wait time.Duration, reason string) {
+func (v *vacancies) logWait(pool string, known *vacancy, wait time.Duration, now time.Time, reason string) {
 	if known.logged == reason {
 		return
 	}
 	known.logged = reason
 	event.TakeoverWaits.Log(v.roster.logger, slog.String("pool", pool), slog.Duration("wait", wait), slog.String("reason", reason),
-		slog.Duration("absent", v.leases.clock.Steady().Sub(known.facts.Since)))
+		slog.Duration("absent", now.Sub(known.facts.Since)))
 }
 
 // ask asks the former owner and the standbys, all at the same time. The next round of the pool
 // manager uses the answers. The lock must be held.
-func (v *vacancies) ask(ctx context.Context, pool string, known *vacancy) {
+func (v *vacancies) ask(ctx context.Context, pool string, known *vacancy, now time.Time) {
 	d := known.facts.Document
-	known.asking, known.askedAt = true, v.leases.clock.Steady()
+	known.asking, known.askedAt = true, now
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	var all sync.WaitGroup
 	for _, p := range append([]peerlease.Process{d.Process}, d.Standbys...) {
@@ -200,8 +200,9 @@
 		return // no answer
 	}
 	answer := peerlease.Answer{Kind: peerlease.AnswerKind(reply.Kind), Name: reply.Name, Remaining: reply.Remaining, Recorded: reply.Recorded}
+	now := v.leases.clock.Steady()
 	v.mu.Lock()
-	known.facts.Note(v.leases.clock.Steady(), p, answer)
+	known.facts.Note(now, p, answer)
 	v.mu.Unlock()
 	v.roster.apply(nil)
 }
