--- a/peerlease/document.go
+++ b/peerlease/document.go
@@ -19,6 +19,11 @@
 	ownerDuration = 900 * time.Millisecond
 	// boundMargin is added to the bound after which a pool is free although nobody answers.
 	boundMargin = 500 * time.Millisecond
+	// MaxLimit is the longest time for which an owner may use peer leases after its proof by the
+	// store has ended.
+	MaxLimit = 8 * time.Second
+	// MaxBound is the Bound of a document with the longest limit and the shortest lease in the store.
+	MaxBound = MaxLimit + 2*time.Second + boundMargin
 )
 
 // A Process identifies one process of a member. Its fields are exported because it is encoded as
@@ -41,7 +46,8 @@
 	// Bound is how long after its owner key is gone the owner may hold peer leases, at most.
 	Bound time.Duration `json:"bound"`
 	// Unrecorded reports that owners before this one may have started tasks that are not recorded
-	// in the store, and that this owner has not settled all of them yet.
+	// in the store, and that this owner has not settled all of them yet. A successor must not rely on what the
+	// standbys say about this owner's starts then.
 	Unrecorded bool `json:"unrecorded,omitempty"`
 }
 
