--- a/member/peer_cluster_test.go
+++ b/member/peer_cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -185,10 +186,12 @@
 
 // actingFor returns the members whose controller of a pool has a proven ownership.
 func (c *leaseCluster) actingFor(pool string) []string {
+	// A pool manager starts controllers with its lock held, and these take the cluster's.
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	members := maps.Clone(c.members)
+	c.mu.Unlock()
 	var out []string
-	for name, m := range c.members {
+	for name, m := range members {
 		if ctl, ok := m.manager.Controller(pool); ok && ctl.Ownership().Proven() {
 			out = append(out, name)
 		}
@@ -211,8 +214,9 @@
 	c.t.Helper()
 	name := c.owner(pool)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	ctl, _ := c.members[name].manager.Controller(pool)
+	m := c.members[name]
+	c.mu.Unlock()
+	ctl, _ := m.manager.Controller(pool)
 	return ctl.Ownership()
 }
 
