Schedule: store the first runs that are assumed at the end of a hold

At the end of a hold, tasks of which nothing was seen get run number 1 as used. That was kept in memory only, and the owner stopped counting as one with unrecorded starts at once, so a later owner could start another run 1 beside one that still runs, or drop a late failure. The jobs are now stored, and the owner counts as one with unrecorded starts until a batch that was taken after the end of the hold is stored.

--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -42,6 +42,8 @@
 	ended    []*entry
 	// begun holds the jobs that the batch stores as begun.
 	begun []*entry
+	// assumed holds the jobs whose assumed first runs the batch stores.
+	assumed []*entry
 	// endedOn holds one worker for each end of a run that the batch stores.
 	endedOn []*Worker
 }
@@ -92,6 +94,9 @@
 		if e.job.Begun() {
 			batch.begun = append(batch.begun, e)
 		}
+		if s.unrecorded.takeAssumed(e) {
+			batch.assumed = append(batch.assumed, e)
+		}
 		if e.ended == "" {
 			record.Progress = e.job.EncodeProgress()
 		} else {
@@ -185,6 +190,7 @@
 	for _, e := range batch.begun {
 		e.begunStored = true
 	}
+	s.unrecorded.assumedInBatch -= len(batch.assumed)
 	for _, r := range batch.starts {
 		s.noteRecorded(r)
 		if r.worker.runs[r.name] != r || r.state != runUnstored {
--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -165,7 +165,8 @@
 }
 
 // endHold releases the tasks that are held back. Their first run may have ended without leaving a
-// trace, so their next start has number 2.
+// trace, so their next start has number 2. That is stored, because a later owner that is not told of
+// unrecorded starts would otherwise start run 1 again.
 func (s *Scheduler) endHold(now time.Time) {
 	h := s.hold
 	if h.logged {
@@ -174,6 +175,8 @@
 	for e := range h.jobs {
 		for _, ref := range s.heldTasks(e) {
 			e.job.AssumeStarted(ref)
+			s.unrecorded.noteAssumed(e)
+			s.markDirty(e, false)
 		}
 	}
 	s.hold = nil
--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -28,6 +28,30 @@
 	queued int
 	// count is how many released or adopted runs no stored batch contains yet.
 	count int
+	// assumed holds the jobs with first runs that were assumed at the end of a hold and that no batch
+	// contains yet.
+	assumed map[*entry]struct{}
+	// assumedInBatch is how many such jobs are in a batch that is not stored yet.
+	assumedInBatch int
+}
+
+// noteAssumed records that a first run of a job was assumed.
+func (u *unrecordedStarts) noteAssumed(e *entry) {
+	if u.assumed == nil {
+		u.assumed = make(map[*entry]struct{})
+	}
+	u.assumed[e] = struct{}{}
+}
+
+// takeAssumed records that a job was taken into a batch, and reports whether the batch stores
+// assumed first runs of it.
+func (u *unrecordedStarts) takeAssumed(e *entry) bool {
+	_, ok := u.assumed[e]
+	if ok {
+		delete(u.assumed, e)
+		u.assumedInBatch++
+	}
+	return ok
 }
 
 // SetPeerLeased sets whether the owner is proven by peer leases alone. While it is, only tasks are
@@ -37,7 +61,10 @@
 
 // Unrecorded reports whether this owner, or the previous one as far as this owner knows, may have
 // started tasks that are stored as never started.
-func (s *Scheduler) Unrecorded() bool { return s.unrecorded.count > 0 || s.hold != nil }
+func (s *Scheduler) Unrecorded() bool {
+	u := &s.unrecorded
+	return u.count > 0 || len(u.assumed) > 0 || u.assumedInBatch > 0 || s.hold != nil
+}
 
 // startsUnrecorded reports whether the job's tasks in a step are of the kind that may start
 // unrecorded. An owner and its successor must agree on this, so it depends only on what is stored
