Schedule: start a step unrecorded only if the steps before it are stored as done

A step could start unrecorded on the end of an earlier step that was known in memory only. If the owner then crashed and the earlier instance was gone, its successor ran the earlier step again beside the later one. Each job now records which steps are stored as done, from what a batch contained when it was taken or from what was read at the takeover.

An owner can therefore no longer leave an unrecorded run of a step beside an earlier step that is not stored as done, so there is no test in which a successor meets these two.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -79,6 +79,9 @@
 	begun bool
 	// begunStored reports whether the job is stored as begun.
 	begunStored bool
+	// doneStored reports for each step whether it is stored as done, nil if no step may be. It is not
+	// kept for recurring jobs.
+	doneStored []bool
 	// ended is the job's final status, empty while the job is open.
 	ended workload.Status
 }
@@ -194,7 +197,7 @@
 	if _, ok := s.endedJobs[j.ID()]; ok {
 		return false
 	}
-	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun()}
+	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun(), doneStored: doneSteps(j)}
 	s.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 && !e.account.atCap() {
 		s.arrivals.add(now, j, s.estimates)
