Schedule: a silent instance no longer freezes capped customers and transfers of caps

While a registered instance answered nobody, the hold of a new owner did not end, nothing of a customer with a cap and held tasks started, and no shares of caps moved. Once the instance's execution lease has certainly expired, nothing runs there, so the use of the pool now counts as known. The held tasks go on waiting while the instance is registered, because only it can say how they ended.

The hold also no longer waits for an instance that is not registered and past its execution lease, which may be remembered for a minute.

--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -101,7 +101,7 @@
 
 // explainWait returns why ready tasks are not placed; t is one of them, and tasks is their number.
 func (s *Scheduler) explainWait(now time.Time, t waitingTask, tasks int) string {
-	if reason := s.explainHold(t, tasks); reason != "" {
+	if reason := s.explainHold(now, t, tasks); reason != "" {
 		return reason
 	}
 	workers := s.usableWorkers(now)
--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -29,6 +29,8 @@
 	tasks int
 	// customers holds the customers of these jobs.
 	customers map[*account]struct{}
+	// usageKnown reports whether everything that these customers use of the pool is known.
+	usageKnown bool
 	// logged reports whether the beginning of the hold was logged.
 	logged bool
 }
@@ -96,7 +98,7 @@
 // usageUnknown reports whether a customer with a cap may have unrecorded runs. Any other task of the
 // customer could then exceed the cap.
 func (s *Scheduler) usageUnknown(a *account) bool {
-	if s.hold == nil || a == nil || !a.capped {
+	if s.UsageKnown() || a == nil || !a.capped {
 		return false
 	}
 	_, ok := s.hold.customers[a]
@@ -104,19 +106,25 @@
 }
 
 // HoldsBack reports whether tasks are held back because the previous owner may have started them.
-// What customers use of the pool is not fully known until then.
 func (s *Scheduler) HoldsBack() bool { return s.hold != nil }
 
+// UsageKnown reports whether everything that customers use of the pool is known: no unrecorded run of
+// the previous owner can still go on anywhere unknown to this owner. That may be so before the hold
+// ends, which waits to learn how such runs have ended.
+func (s *Scheduler) UsageKnown() bool { return s.hold == nil || s.hold.usageKnown }
+
 // awaitsReport reports whether a worker may have unrecorded runs of which this owner does not know.
 // Nothing is placed there, because its free capacity is not known.
 func (s *Scheduler) awaitsReport(w *Worker) bool { return s.hold != nil && !w.fullyReported }
 
 // unreportedWorkers returns the incarnations that have not reported yet and are not known to have
-// ended, sorted. An incarnation that is gone is not among the workers any more.
-func (s *Scheduler) unreportedWorkers() []pointport.IncarnationID {
+// ended, sorted. An incarnation that is gone is not among the workers any more, unless late starts
+// there must still be ruled out: one that is not registered counts only until everything on it has
+// certainly ended.
+func (s *Scheduler) unreportedWorkers(now time.Time) []pointport.IncarnationID {
 	var out []pointport.IncarnationID
 	for id, w := range s.workers {
-		if !w.ended && !w.fullyReported {
+		if !w.ended && !w.fullyReported && (w.listed || !now.After(s.executionExpiry(w))) {
 			out = append(out, id)
 		}
 	}
@@ -124,6 +132,17 @@
 	return out
 }
 
+// unreportedHaveExpired reports whether everything has certainly ended on all incarnations that have
+// not reported. One that answers without a complete list of ends runs on.
+func (s *Scheduler) unreportedHaveExpired(now time.Time) bool {
+	for _, id := range s.unreportedWorkers(now) {
+		if w := s.workers[id]; !w.silent || !now.After(s.executionExpiry(w)) {
+			return false
+		}
+	}
+	return true
+}
+
 // registrationsComplete reports whether the registrations have been readable for so long since the
 // takeover that every instance that can reach the store is registered.
 func (s *Scheduler) registrationsComplete() bool {
@@ -159,7 +178,9 @@
 		h.logged = true
 		s.logHold(now, true)
 	}
-	if s.registrationsComplete() && s.unregisteredExpired(now) && len(s.unreportedWorkers()) == 0 {
+	known := s.registrationsComplete() && s.unregisteredExpired(now)
+	h.usageKnown = known && s.unreportedHaveExpired(now)
+	if known && len(s.unreportedWorkers(now)) == 0 {
 		s.endHold(now)
 	}
 }
@@ -188,7 +209,7 @@
 
 func (s *Scheduler) logHold(now time.Time, begins bool) {
 	event.TasksHeldBack.Log(s.logger, slog.Bool("begins", begins), slog.Int("tasks", s.hold.tasks),
-		slog.Int("instances", len(s.unreportedWorkers())), slog.Duration("after", now.Sub(s.tookOverAt)))
+		slog.Int("instances", len(s.unreportedWorkers(now))), slog.Duration("after", now.Sub(s.tookOverAt)))
 }
 
 // adopt makes a run the run of its task if the previous owner may have started it unrecorded: it is
@@ -220,7 +241,7 @@
 
 // explainHold returns why ready tasks of the step of t are not placed if unrecorded starts are the
 // reason, otherwise the empty string; tasks is their number.
-func (s *Scheduler) explainHold(t waitingTask, tasks int) string {
+func (s *Scheduler) explainHold(now time.Time, t waitingTask, tasks int) string {
 	held := 0
 	for _, ref := range s.heldTasks(t.entry) {
 		if ref.Occurrence == t.ref.Occurrence && ref.Step == t.ref.Step {
@@ -229,9 +250,9 @@
 	}
 	switch {
 	case held > 0:
-		return fmt.Sprintf("%d tasks are held back: the previous owner may have started them%s", held, s.explainUnreported())
+		return fmt.Sprintf("%d tasks are held back: the previous owner may have started them%s", held, s.explainUnreported(now))
 	case s.usageUnknown(t.entry.account):
-		return fmt.Sprintf("%d tasks are held back: the previous owner may have started others of %s, which has a cap%s", tasks, t.entry.account.name, s.explainUnreported())
+		return fmt.Sprintf("%d tasks are held back: the previous owner may have started others of %s, which has a cap%s", tasks, t.entry.account.name, s.explainUnreported(now))
 	case s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, firstRun):
 		return fmt.Sprintf("%d tasks wait for the store, which is unavailable: they may not start before that is stored", tasks)
 	}
@@ -239,9 +260,9 @@
 }
 
 // explainUnreported returns what the hold waits for, as text.
-func (s *Scheduler) explainUnreported() string {
+func (s *Scheduler) explainUnreported(now time.Time) string {
 	const most = 5 // keeps the text short in a large pool
-	ids := s.unreportedWorkers()
+	ids := s.unreportedWorkers(now)
 	if len(ids) == 0 {
 		return "; instances that are not registered may still run them"
 	}
--- a/schedule/hold_test.go
+++ b/schedule/hold_test.go
@@ -404,3 +404,108 @@
 		t.Errorf("starts %s, want run 1 at once", got)
 	}
 }
+
+// TestSilentInstanceDoesNotFreezeCaps checks that a registered instance that answers nobody keeps the
+// tasks of a customer with a cap from starting, and shares of caps from moving, only until its
+// execution lease has expired: nothing of the customer would start for as long as it is registered.
+// The tasks that may have run on the instance go on waiting for it.
+func TestSilentInstanceDoesNotFreezeCaps(t *testing.T) {
+	s := newSuccessor()
+	j := workload.New("a", "q", policy, &workload.Spec{Steps: []workload.Step{step(1, 100, nil), step(1, 100, nil)}}, start, workload.WithCustomer("c"))
+	finishFirstStep(j)
+	s.Add(start, j)
+	s.Add(start, workload.New("b", "q", policy, &workload.Spec{Steps: []workload.Step{step(1, 100, nil)}}, start, workload.WithCustomer("c")))
+	s.SetAllowed(map[string]pointport.Shape{"c": {CPUMilli: 3000, MemoryMiB: 3000}})
+	s.SetIncarnations(start, []pointport.Incarnation{incarnation(0), incarnation(1)})
+	s.PollFailed(polledWorker(t, s, "i-1"), start, &pointport.UnavailableError{Op: "hold", Ambiguous: true})
+	var started []string
+	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		s.Report(polledWorker(t, s, "i-0"), now, now, pointport.Report{Clock: pointport.InstanceTime(1 + now.Sub(start))})
+		readable(s, start, now)
+		all := startedTasks(orders(s, now))
+		started = append(started, all...)
+		past := now.After(start.Add(settings.PredecessorBound))
+		if len(all) > 0 && !past {
+			t.Errorf("starts %v after %v, when the silent instance may still run others", all, now.Sub(start))
+		}
+		if s.UsageKnown() != past {
+			t.Fatalf("usage known %t after %v, want %t", s.UsageKnown(), now.Sub(start), past)
+		}
+	}
+	if fmt.Sprint(started) != "[b.0.0.0 1]" {
+		t.Errorf("starts %v, want only the task that cannot have run on the silent instance", started)
+	}
+	if !s.HoldsBack() || !s.Unrecorded() {
+		t.Errorf("holds back %t, unrecorded %t while the silent instance is registered; want true and true", s.HoldsBack(), s.Unrecorded())
+	}
+}
+
+// TestUsageIsUnknownWhileInstanceMayRun checks that the use of a customer with a cap does not count as
+// known while unrecorded runs may go on: without any of the conditions the cap could be exceeded.
+func TestUsageIsUnknownWhileInstanceMayRun(t *testing.T) {
+	cases := map[string]struct {
+		now, since time.Time
+		other      string
+		want       bool
+	}{
+		"silent and expired":     {now: expired, since: start, other: "silent", want: true},
+		"silent, not expired":    {now: start.Add(settings.PredecessorBound), since: start, other: "silent"},
+		"ends omitted":           {now: expired, since: start, other: "full"},
+		"registrations unread":   {now: expired, other: "silent"},
+		"registered only now":    {now: expired, since: start, other: "new"},
+		"silent, then answers":   {now: expired, since: start, other: "answers"},
+		"silent after extension": {now: expired, since: start, other: "extended"},
+		"unregistered, expired":  {now: expired, since: start, other: "unregistered", want: true},
+	}
+	full := pointport.Report{Clock: 1}
+	for n := range 500 {
+		full.Ended = append(full.Ended, pointport.TaskEnd{Number: int64(n + 1), TaskRun: pointport.TaskRun{Task: fmt.Sprintf("z.0.0.%d", n), Run: 1}, Kind: pointport.EndDone})
+	}
+	for name, c := range cases {
+		s := newSuccessor()
+		s.Add(start, begunJob("a", policy, step(1, 100, nil)))
+		both := []pointport.Incarnation{incarnation(0), incarnation(1)}
+		s.SetIncarnations(start, both)
+		s.Report(polledWorker(t, s, "i-0"), start, start, pointport.Report{Clock: 1})
+		other := polledWorker(t, s, "i-1")
+		if c.other != "full" {
+			s.PollFailed(other, start, &pointport.UnavailableError{Op: "hold", Ambiguous: true})
+		}
+		switch c.other {
+		case "full":
+			s.Report(other, start, start, full)
+		case "answers":
+			s.Report(other, c.now, c.now, full)
+		case "extended":
+			s.Report(other, c.now, c.now, full)
+			other.ExtendLease(c.now, settings.Lease)
+			s.PollFailed(other, c.now, &pointport.UnavailableError{Op: "hold", Ambiguous: true})
+		case "new":
+			s.SetIncarnations(c.now, append(both, incarnation(2)))
+		case "unregistered":
+			s.SetIncarnations(start, both[:1])
+		}
+		readable(s, c.since, c.now)
+		s.Plan(c.now)
+		if got := s.UsageKnown(); got != c.want {
+			t.Errorf("%s: usage known %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// TestHoldEndsWithoutUnregisteredInstance checks that the hold does not wait for an instance that is not
+// registered and whose execution lease has expired, although the owner still remembers it for a run
+// that is stored. It may be remembered for a minute.
+func TestHoldEndsWithoutUnregisteredInstance(t *testing.T) {
+	s := newSuccessor()
+	s.Add(start, begunJob("a", policy, step(1, 100, nil)))
+	other := begunJob("b", policy, step(1, 100, nil))
+	other.Place(workload.TaskRef{Step: 1}, "i-1", 1)
+	s.Add(start, other)
+	s.SetIncarnations(start, []pointport.Incarnation{incarnation(0)})
+	s.Report(polledWorker(t, s, "i-0"), start, start, pointport.Report{Clock: 1})
+	readable(s, expired.Add(-2*time.Second), expired) // too short for i-1 to count as gone
+	if got := fmt.Sprint(startedTasks(orders(s, expired))); got != "[a.0.1.0 2]" {
+		t.Errorf("starts %s, want the task that was held back", got)
+	}
+}
--- a/shard/caps.go
+++ b/shard/caps.go
@@ -83,7 +83,7 @@
 // because shares that these use could be transferred to other pools, and while the store does not
 // prove the ownership: it would not answer.
 func (o *Owner) transferCaps(ctx context.Context, now time.Time) {
-	if o.caps == nil || o.caps.transferring || o.scheduler.HoldsBack() || !o.ownership.ProvenByStore() {
+	if o.caps == nil || o.caps.transferring || !o.scheduler.UsageKnown() || !o.ownership.ProvenByStore() {
 		return
 	}
 	o.scheduler.VisitUsage(func(u schedule.CustomerUsage) {
