Intake: compare a deadline with the few known ones of its own customer first

While fewer than eight deadlines of a customer and queue were known, ages were derived from the deadlines of all customers alone. A customer whose deadlines are all short then seemed to have waited for seconds after a refusal. A deadline close to any known one of its own customer and queue now has no age.

--- a/intake/submission_age.go
+++ b/intake/submission_age.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +56,8 @@
 //     store. At all other times every age is zero.
 //   - Deadlines are compared with those of the same customer and queue. While too few of these are
 //     known, they are compared with those of all customers of this member: most members see only a
-//     few submissions of each customer.
+//     few submissions of each customer. A deadline close to any of the few that are known has the age
+//     zero even so.
 //   - Every value with a share of minUsualShare is a usual one, not only the most frequent value. A
 //     deadline close to a usual one has the age zero, and any other is compared with the nearest
 //     longer one. Where a customer's deadlines are of many values, its ages are therefore too low
@@ -110,7 +112,11 @@
 	if !now.Before(a.retriesUntil) {
 		return 0
 	}
-	for _, key := range []deadlineSource{{customer, queue}, allSources} {
+	own := deadlineSource{customer, queue}
+	if counts := a.sources[own]; counts != nil && counts.total < minDeadlineSamples && counts.hasNear(remaining) {
+		return 0 // the deadlines of others do not show that this one is not a first deadline
+	}
+	for _, key := range []deadlineSource{own, allSources} {
 		if counts := a.sources[key]; counts != nil && counts.total >= minDeadlineSamples {
 			counts.usedAt = now
 			return counts.age(remaining)
@@ -194,6 +200,17 @@
 	c.values = kept
 }
 
+// near reports whether a deadline differs from the counted ones by no more than first deadlines vary.
+func (v deadlineCount) near(remaining time.Duration) bool {
+	shorter := v.least - remaining
+	return shorter > -deadlineStep && shorter < minSubmissionAge
+}
+
+// hasNear reports whether a deadline is near any counted one, usual or not.
+func (c *deadlineCounts) hasNear(remaining time.Duration) bool {
+	return slices.ContainsFunc(c.values, func(v deadlineCount) bool { return v.near(remaining) })
+}
+
 // age returns how much shorter a deadline is than the nearest longer one that is usual.
 func (c *deadlineCounts) age(remaining time.Duration) time.Duration {
 	covered := 0
@@ -203,11 +220,10 @@
 		if v.n < minUsualCount || float64(v.n) < minUsualShare*float64(c.total) {
 			continue
 		}
-		shorter := v.least - remaining
-		if shorter > -deadlineStep && shorter < minSubmissionAge {
+		if v.near(remaining) {
 			return 0 // close to a usual first deadline
 		}
-		if shorter > 0 && (nearest == 0 || shorter < nearest) {
+		if shorter := v.least - remaining; shorter > 0 && (nearest == 0 || shorter < nearest) {
 			nearest = shorter
 		}
 	}
--- a/intake/submission_age_test.go
+++ b/intake/submission_age_test.go
@@ -199,6 +199,29 @@
 	}
 }
 
+// TestFewShortDeadlines checks that a customer whose deadlines are all short has no age while too few
+// of them are known: compared with the longer ones of others, it would seem to have waited. A deadline
+// that is unlike its own few is still compared with those of all.
+func TestFewShortDeadlines(t *testing.T) {
+	for _, few := range []int{1, 7} {
+		a := intake.NewSubmissionAges(agesStart)
+		for range 400 {
+			a.Observe(calm, "c", "q", 3*time.Second, nil)
+		}
+		for range few {
+			a.Observe(calm, "d", "r", 500*time.Millisecond, nil)
+		}
+		a.Observe(calm, "c", "q", 0, errStore)
+		for remaining, want := range map[time.Duration]time.Duration{
+			500 * time.Millisecond: 0, 201 * time.Millisecond: 0, 599 * time.Millisecond: 0, 1500 * time.Millisecond: 1500 * time.Millisecond,
+		} {
+			if got := a.Age(calm, "d", "r", remaining); got != want {
+				t.Errorf("%d known: age %v with %v left, want %v", few, got, remaining, want)
+			}
+		}
+	}
+}
+
 // TestUsualDeadlineChanges checks that a new first deadline replaces the former one, so that clients
 // which have changed to a shorter one do not seem to have waited for good.
 func TestUsualDeadlineChanges(t *testing.T) {
