Schedule: names of counts, and explain a wait by the run that is due

The wait of a step's tasks for the store is now explained by the next run number of a task that is pending, not by a first run. The tasks of a job are walked for held ones only if the job is held.

--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -73,10 +73,13 @@
 
 func (s *Scheduler) explainStep(now time.Time, e *entry, o *workload.Occurrence, n int) StepExplanation {
 	x := StepExplanation{Occurrence: o.Index, Step: n, Tasks: len(o.Steps[n]), Done: len(o.Steps[n]) - o.Remaining(n)}
-	pending := 0
+	pending, first := 0, 0
 	for i, t := range o.Steps[n] {
 		switch t.Phase {
 		case workload.Pending:
+			if pending == 0 {
+				first = i
+			}
 			pending++
 		case workload.GivenUp:
 			x.GivenUp++
@@ -94,7 +97,7 @@
 	case !e.job.Ready(o, n):
 		x.Waits = fmt.Sprintf("%d tasks wait for earlier steps", pending)
 	default:
-		x.Waits = s.explainWait(now, waitingTask{e, workload.TaskRef{Occurrence: o.Index, Step: n}, &e.job.Spec().Steps[n]}, pending)
+		x.Waits = s.explainWait(now, waitingTask{e, workload.TaskRef{Occurrence: o.Index, Step: n, Index: first}, &e.job.Spec().Steps[n]}, pending)
 	}
 	return x
 }
--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -15,9 +15,9 @@
 // This file defines which tasks an owner holds back because the previous owner may have started them
 // without recording it.
 
-// registrationsBack is for how long the registrations must be readable until instances whose entries
+// registrationSettleTime is for how long the registrations must be readable until instances whose entries
 // expired while the store was unavailable are registered again.
-const registrationsBack = 2 * time.Second
+const registrationSettleTime = 2 * time.Second
 
 // A hold keeps tasks from starting until every instance that may have a run of them has reported, or
 // everything that ran there has certainly ended.
@@ -81,6 +81,9 @@
 
 // heldTasks returns the tasks of a job that are held back.
 func (s *Scheduler) heldTasks(e *entry) []workload.TaskRef {
+	if !s.holds(e) {
+		return nil
+	}
 	var out []workload.TaskRef
 	e.job.Occurrences(func(o *workload.Occurrence) {
 		for n, step := range o.Steps {
@@ -150,7 +153,7 @@
 	if since.IsZero() {
 		return false
 	}
-	return s.registryCoverage.Until.Sub(laterTime(since, s.tookOverAt)) >= registrationsBack
+	return s.registryCoverage.Until.Sub(laterTime(since, s.tookOverAt)) >= registrationSettleTime
 }
 
 // unregisteredExpired reports whether everything has ended that the previous owner has started on
@@ -230,8 +233,8 @@
 	e.job.Place(ref, w.inc.ID(), run.Run)
 	r := s.newRun(now, e, ref, w, run.Run, runInherited)
 	r.unrecorded = true
-	s.unrecorded.count++
-	s.unrecorded.queued++
+	s.unrecorded.unstored++
+	s.unrecorded.releasedUnstored++
 	s.unstoredStarts = append(s.unstoredStarts, r)
 	s.markDirty(e, true)
 	event.RunAdopted.Log(s.logger, slog.String("task", r.name), slog.Int("run", r.number),
@@ -253,7 +256,7 @@
 		return fmt.Sprintf("%d tasks are held back: the previous owner may have started them%s", held, s.explainUnreported(now))
 	case s.usageUnknown(t.entry.account):
 		return fmt.Sprintf("%d tasks are held back: the previous owner may have started others of %s, which has a cap%s", tasks, t.entry.account.name, s.explainUnreported(now))
-	case s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, firstRun):
+	case s.waitsForStore(t):
 		return fmt.Sprintf("%d tasks wait for the store, which is unavailable: they may not start before that is stored", tasks)
 	}
 	return ""
--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -24,10 +24,10 @@
 type unrecordedStarts struct {
 	// peerLeased reports whether the owner is proven by peer leases alone.
 	peerLeased bool
-	// queued is how many of the scheduler's unstoredStarts need not be released any more.
-	queued int
-	// count is how many released or adopted runs no stored batch contains yet.
-	count int
+	// releasedUnstored is how many of the scheduler's unstoredStarts need not be released any more.
+	releasedUnstored int
+	// unstored is how many released or adopted runs no stored batch contains yet.
+	unstored int
 	// assumed holds the jobs with first runs that were assumed at the end of a hold and that no batch
 	// contains yet.
 	assumed map[*entry]struct{}
@@ -63,7 +63,7 @@
 // started tasks that are stored as never started.
 func (s *Scheduler) Unrecorded() bool {
 	u := &s.unrecorded
-	return u.count > 0 || len(u.assumed) > 0 || u.assumedInBatch > 0 || s.hold != nil
+	return u.unstored > 0 || len(u.assumed) > 0 || u.assumedInBatch > 0 || s.hold != nil
 }
 
 // startsUnrecorded reports whether the job's tasks in a step are of the kind that may start
@@ -149,7 +149,7 @@
 	for _, r := range s.unstoredStarts {
 		if s.mayRelease(r) {
 			s.release(r, now)
-			s.unrecorded.queued++
+			s.unrecorded.releasedUnstored++
 		}
 	}
 }
@@ -157,7 +157,7 @@
 // release releases the start of a run before it is stored.
 func (s *Scheduler) release(r *Run, now time.Time) {
 	r.state, r.unrecorded = runSent, true
-	s.unrecorded.count++
+	s.unrecorded.unstored++
 	s.pendingOrders = append(s.pendingOrders, startOrder(r))
 	event.StartUnrecorded.Log(s.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.placedAt)))
@@ -166,7 +166,7 @@
 // noteTaken records that a run was moved from unstoredStarts to a batch.
 func (s *Scheduler) noteTaken(r *Run) {
 	if r.unrecorded {
-		s.unrecorded.queued--
+		s.unrecorded.releasedUnstored--
 	}
 }
 
@@ -174,17 +174,25 @@
 func (s *Scheduler) noteRecorded(r *Run) {
 	if r.unrecorded {
 		r.unrecorded = false
-		s.unrecorded.count--
+		s.unrecorded.unstored--
 	}
 }
 
 // waitingForStore returns how many placed tasks wait for their start to be stored.
-func (s *Scheduler) waitingForStore() int { return len(s.unstoredStarts) - s.unrecorded.queued }
+func (s *Scheduler) waitingForStore() int {
+	return len(s.unstoredStarts) - s.unrecorded.releasedUnstored
+}
+
+// waitsForStore reports whether a ready task may not be placed because the owner is proven by peer
+// leases alone and the task's next run may not start unrecorded.
+func (s *Scheduler) waitsForStore(t waitingTask) bool {
+	return s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, t.entry.job.Task(t.ref).Run+1)
+}
 
 // mayPlace reports whether a ready task may be placed as far as unrecorded starts are concerned: its
 // own while the owner is proven by peer leases alone, or those of the previous owner.
 func (s *Scheduler) mayPlace(t waitingTask) bool {
-	if s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, t.entry.job.Task(t.ref).Run+1) {
+	if s.waitsForStore(t) {
 		return false
 	}
 	return !s.heldBack(t.entry, t.ref) && !s.usageUnknown(t.entry.account)
--- a/schedule/unrecorded_test.go
+++ b/schedule/unrecorded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -397,3 +398,31 @@
 		t.Errorf("the next owner starts %v, want the second step, whose step before was read as done", got)
 	}
 }
+
+// TestWaitForStoreIsExplained checks that the wait of a step's tasks is explained by those that are
+// pending: another task of the step may be done, and its run number decides nothing.
+func TestWaitForStoreIsExplained(t *testing.T) {
+	cases := map[string]struct {
+		change func(j *workload.Job, pending workload.TaskRef)
+		want   bool
+	}{
+		"first run":  {func(*workload.Job, workload.TaskRef) {}, false},
+		"second run": {func(j *workload.Job, pending workload.TaskRef) { j.Place(pending, "i-9", 1); j.Requeue(pending) }, true},
+	}
+	for name, c := range cases {
+		j := begunJob("a", policy, step(2, 100000, nil)) // fits nowhere
+		done, pending := workload.TaskRef{Step: 1}, workload.TaskRef{Step: 1, Index: 1}
+		j.Place(done, "i-9", 1)
+		j.Finish(done)
+		c.change(j, pending)
+		s := newTestScheduler()
+		registerIdle(s, start, incarnation(0))
+		s.Add(start, j)
+		s.SetPeerLeased(true)
+		s.Plan(start)
+		x, _ := s.Explain(start, "a")
+		if got := x.Steps[1].Waits; strings.Contains(got, "wait for the store") != c.want {
+			t.Errorf("%s: explained as %q", name, got)
+		}
+	}
+}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -125,7 +125,7 @@
 	evacuations        func() evacuation.Zones
 	logger             *slog.Logger
 	ownership          member.Ownership
-	peerLease          peerLease
+	peerLease          peerLeaseState
 	lease              time.Duration
 	maxHold            time.Duration
 	gangTimeout        time.Duration
--- a/shard/unrecorded.go
+++ b/shard/unrecorded.go
@@ -5,8 +5,9 @@
 // This file defines how starts are sent before they are stored, while the owner is proven by peer
 // leases alone.
 
-// A peerLease is the part of an ownership that concerns unrecorded starts.
-type peerLease interface {
+// A peerLeaseState is the part of an ownership that decides whether starts may be unrecorded, and that
+// tells a successor whether they may be.
+type peerLeaseState interface {
 	// PeerLeased reports whether the ownership is proven by peer leases alone.
 	PeerLeased() bool
 	// NoteUnrecorded records whether starts are unrecorded.
