--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -24,10 +24,34 @@
 type unrecordedStarts struct {
 	// peerLeased reports whether the owner is proven by peer leases alone.
 	peerLeased bool
-	// queued is how many of the scheduler's unstoredStarts need not be released any more.
-	queued int
-	// count is how many released or adopted runs no stored batch contains yet.
-	count int
+	// releasedUnstored is how many of the scheduler's unstoredStarts need not be released any more.
+	releasedUnstored int
+	// unstored is how many released or adopted runs no stored batch contains yet.
+	unstored int
+	// assumed holds the jobs with first runs that were assumed at the end of a hold and that no batch
+	// contains yet.
+	assumed map[*entry]struct{}
+	// assumedInBatch is how many such jobs are in a batch that is not stored yet.
+	assumedInBatch int
+}
+
+// noteAssumed records that a first run of a job was assumed.
+func (u *unrecordedStarts) noteAssumed(e *entry) {
+	if u.assumed == nil {
+		u.assumed = make(map[*entry]struct{})
+	}
+	u.assumed[e] = struct{}{}
+}
+
+// takeAssumed records that a job was taken into a batch, and reports whether the batch stores
+// assumed first runs of it.
+func (u *unrecordedStarts) takeAssumed(e *entry) bool {
+	_, ok := u.assumed[e]
+	if ok {
+		delete(u.assumed, e)
+		u.assumedInBatch++
+	}
+	return ok
 }
 
 // SetPeerLeased sets whether the owner is proven by peer leases alone. While it is, only tasks are
@@ -37,7 +61,10 @@
 
 // Unrecorded reports whether this owner, or the previous one as far as this owner knows, may have
 // started tasks that are stored as never started.
-func (s *Scheduler) Unrecorded() bool { return s.unrecorded.count > 0 || s.hold != nil }
+func (s *Scheduler) Unrecorded() bool {
+	u := &s.unrecorded
+	return u.unstored > 0 || len(u.assumed) > 0 || u.assumedInBatch > 0 || s.hold != nil
+}
 
 // startsUnrecorded reports whether the job's tasks in a step are of the kind that may start
 // unrecorded. An owner and its successor must agree on this, so it depends only on what is stored
@@ -46,11 +73,40 @@
 	return !step.Gang && !step.Service && !step.Copies && !j.Policy().Advised && j.Spec().Recur.Times == 0
 }
 
+// doneSteps returns for each step of a job whether it is done, nil if none is or the job recurs.
+func doneSteps(j *workload.Job) []bool {
+	o := j.Occurrence(0)
+	if o == nil || j.Spec().Recur.Times > 0 {
+		return nil
+	}
+	var done []bool
+	for n := range o.Steps {
+		if o.Remaining(n) == 0 {
+			if done == nil {
+				done = make([]bool, len(o.Steps))
+			}
+			done[n] = true
+		}
+	}
+	return done
+}
+
 // mayStartUnrecorded reports whether a task with the given run number may be started before that is
 // stored. The job must be stored as begun, because a successor holds back the tasks of such jobs
-// only.
+// only. The steps that the task waits for must be stored as done, because a successor could otherwise
+// run them again beside it. Steps before these need no check: these started only after them.
 func (e *entry) mayStartUnrecorded(step *workload.Step, number int) bool {
-	return number == firstRun && e.begunStored && startsUnrecorded(e.job, step)
+	return number == firstRun && e.begunStored && startsUnrecorded(e.job, step) && e.storedAsDone(step.After)
+}
+
+// storedAsDone reports whether all of the given steps are stored as done.
+func (e *entry) storedAsDone(steps []int) bool {
+	for _, n := range steps {
+		if n >= len(e.doneStored) || !e.doneStored[n] {
+			return false
+		}
+	}
+	return true
 }
 
 // mayRelease reports whether the start of a run may be sent before it is stored. A run that was
@@ -93,7 +149,7 @@
 	for _, r := range s.unstoredStarts {
 		if s.mayRelease(r) {
 			s.release(r, now)
-			s.unrecorded.queued++
+			s.unrecorded.releasedUnstored++
 		}
 	}
 }
@@ -101,7 +157,7 @@
 // release releases the start of a run before it is stored.
 func (s *Scheduler) release(r *Run, now time.Time) {
 	r.state, r.unrecorded = runSent, true
-	s.unrecorded.count++
+	s.unrecorded.unstored++
 	s.pendingOrders = append(s.pendingOrders, startOrder(r))
 	event.StartUnrecorded.Log(s.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.placedAt)))
@@ -110,7 +166,7 @@
 // noteTaken records that a run was moved from unstoredStarts to a batch.
 func (s *Scheduler) noteTaken(r *Run) {
 	if r.unrecorded {
-		s.unrecorded.queued--
+		s.unrecorded.releasedUnstored--
 	}
 }
 
@@ -118,17 +174,25 @@
 func (s *Scheduler) noteRecorded(r *Run) {
 	if r.unrecorded {
 		r.unrecorded = false
-		s.unrecorded.count--
+		s.unrecorded.unstored--
 	}
 }
 
 // waitingForStore returns how many placed tasks wait for their start to be stored.
-func (s *Scheduler) waitingForStore() int { return len(s.unstoredStarts) - s.unrecorded.queued }
+func (s *Scheduler) waitingForStore() int {
+	return len(s.unstoredStarts) - s.unrecorded.releasedUnstored
+}
+
+// waitsForStore reports whether a ready task may not be placed because the owner is proven by peer
+// leases alone and the task's next run may not start unrecorded.
+func (s *Scheduler) waitsForStore(t waitingTask) bool {
+	return s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, t.entry.job.Task(t.ref).Run+1)
+}
 
 // mayPlace reports whether a ready task may be placed as far as unrecorded starts are concerned: its
 // own while the owner is proven by peer leases alone, or those of the previous owner.
 func (s *Scheduler) mayPlace(t waitingTask) bool {
-	if s.unrecorded.peerLeased && !t.entry.mayStartUnrecorded(t.step, t.entry.job.Task(t.ref).Run+1) {
+	if s.waitsForStore(t) {
 		return false
 	}
 	return !s.heldBack(t.entry, t.ref) && !s.usageUnknown(t.entry.account)
