Node tests with peer leases

The random hand-over scripts also run with peer leases, with outages for all members and members cut off from their peers among the faults.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -77,6 +77,8 @@
 	looseClocks bool
 	// deadlineAge means that jobs count from their first submission.
 	deadlineAge bool
+	// peerLeaseLimit is for how long owners may rely on peer leases.
+	peerLeaseLimit time.Duration
 }
 
 type running struct {
@@ -139,6 +141,11 @@
 	return func(c *cluster, _ *[]testbed.Option) { c.configApplyTime = d }
 }
 
+// withPeerLeases sets for how long owners may rely on peer leases.
+func withPeerLeases(limit time.Duration) clusterOption {
+	return func(c *cluster, _ *[]testbed.Option) { c.peerLeaseLimit = limit }
+}
+
 // withMachineOrderRate sets the rate of orders about instances that the platform accepts, and a
 // service that counts them.
 func withMachineOrderRate(perSecond float64, counts *countingMachines) clusterOption {
@@ -371,7 +378,7 @@
 		GangTimeout: testbed.DefaultGangTimeout, RemoteDataSlowdown: 2,
 		ConfigApplyTime: c.configApplyTime,
 		Capacity:        capacity.Settings{MoveTime: testbed.DefaultMoveTime, MaintenanceTime: testbed.DefaultMaintenanceTime}, Keys: c.keyPolicy,
-		DeadlineAge: c.deadlineAge,
+		DeadlineAge: c.deadlineAge, PeerLeaseLimit: c.peerLeaseLimit,
 		LowMemory: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/node/handover_random_test.go
+++ b/node/handover_random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +29,10 @@
 	"storeLosesAnswers", "storeIsLate", "kill", "stop", "removeOwnerKeys", "reachableFromFrozenOwner", "reachableFromFrozenOwner",
 }
 
-func drawHandoverScript(t *rapid.T) script {
+func drawHandoverScript(t *rapid.T) script { return drawHandoverScriptOf(t, handoverKinds) }
+
+// drawHandoverScriptOf draws a script whose faults are of the given kinds.
+func drawHandoverScriptOf(t *rapid.T, kinds []string) script {
 	s := script{handover: true, cancels: make(map[int]time.Duration), crashingJob: -1, failingJob: -1, enforceCapacity: rapid.Bool().Draw(t, "enforce capacity")}
 	// Tasks take longer than a handover of a pool, and are small enough for pools that no
 	// steward enlarges.
@@ -53,7 +57,7 @@
 		s.faults = append(s.faults, scriptedFault{
 			at:       drawTime(t, "fault"),
 			duration: time.Duration(rapid.IntRange(100, 5000).Draw(t, "duration")) * time.Millisecond,
-			kind:     rapid.SampledFrom(handoverKinds).Draw(t, "kind"),
+			kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
 			index:    rapid.IntRange(0, 9).Draw(t, "index"),
 		})
 	}
@@ -74,6 +78,14 @@
 	checkScripts(t, drawHandoverScript)
 }
 
+// Whatever happens while pools change owners, owners that rely on peer leases during outages of
+// the store for all members violate no invariant either, and all jobs end as expected.
+func TestInvariantsDuringRandomHandoversWithPeerLeases(t *testing.T) {
+	t.Parallel()
+	kinds := slices.Concat(handoverKinds, []string{"outage", "outage", "outage", "outage", "cutPeers"})
+	checkScriptsWith(t, func(t *rapid.T) script { return drawHandoverScriptOf(t, kinds) }, withPeerLeases(peerLeaseLimit))
+}
+
 // A faultRule decides the faults of orders and of store calls while it is active.
 type faultRule struct {
 	order func(op string, to pointport.InstanceID) (testbed.Delivery, bool)
@@ -211,6 +223,8 @@
 			calls++
 			return testbed.Delivery{LateBy: time.Duration(500+400*fault.index) * time.Millisecond}, strings.HasSuffix(op, " start") && calls%2 == 0
 		}})
+	case "outage":
+		p.faultRules.applyFor(fault.duration, faultRule{call: func(string, string, string) (memory.Fault, bool) { return memory.FaultLostCall, true }})
 	case "storeLosesAnswers", "storeIsLate":
 		storeFault := map[string]memory.Fault{"storeLosesAnswers": memory.FaultLostAnswer, "storeIsLate": memory.FaultLate}[fault.kind]
 		p.faultRules.applyFor(fault.duration, faultRule{call: func(_, op, _ string) (memory.Fault, bool) {
