Random hand-over scripts with peer leases: jobs and faults that reach unrecorded starts

With the faults of the scripts without peer leases alone, owners started tasks before storing that in 2 of 100 scripts. Now an outage for all members is in each script, with the owner killed in some; unrecorded starts occur in 12 of 100.

--- a/node/handover_random_test.go
+++ b/node/handover_random_test.go
@@ -14,6 +14,7 @@
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/memory"
 	"github.com/pointport/pointport/testbed"
+	"github.com/pointport/pointport/workload"
 )
 
 // This file draws random faults of pool handovers: pools move between members that are paused,
@@ -78,12 +79,55 @@
 	checkScripts(t, drawHandoverScript)
 }
 
+// drawPeerLeaseScript draws a script of handovers with outages of the store for all members, in some
+// of which the owner of a pool is killed. There are fewer other faults: most of them end the proof by
+// peer leases.
+func drawPeerLeaseScript(t *rapid.T) script {
+	s := drawHandoverScriptOf(t, slices.Concat(handoverKinds, []string{"cutPeers"}))
+	s.faults = s.faults[:min(len(s.faults), rapid.IntRange(0, 4).Draw(t, "other faults"))]
+	for n := range s.joins {
+		s.joins[n] /= 8
+	}
+	for n, spec := range s.jobs {
+		if n%4 != 0 { // has tasks of which owners may start some before that is stored
+			s.starts[n] /= 2
+			chainSteps(spec)
+		}
+	}
+	for range rapid.IntRange(1, 2).Draw(t, "outages") {
+		s.faults = append(s.faults, scriptedFault{
+			at:       drawTime(t, "outage"),
+			duration: time.Duration(rapid.IntRange(1500, 7000).Draw(t, "outage duration")) * time.Millisecond,
+			kind:     rapid.SampledFrom([]string{"outage", "outageKillsOwner", "outageKillsOwner"}).Draw(t, "outage kind"),
+			index:    rapid.IntRange(0, 9).Draw(t, "index"),
+		})
+	}
+	return s
+}
+
+// chainSteps makes each step of a job that does not serve depend on the previous one. There are three
+// steps without gangs and copies.
+func chainSteps(spec *workload.Spec) {
+	if spec.Steps[0].Service {
+		return
+	}
+	for len(spec.Steps) < 3 {
+		spec.Steps = append(spec.Steps, spec.Steps[0])
+	}
+	for n := range spec.Steps {
+		step := &spec.Steps[n]
+		step.Gang, step.Copies = false, false
+		if n > 0 {
+			step.After = []int{n - 1}
+		}
+	}
+}
+
 // Whatever happens while pools change owners, owners that rely on peer leases during outages of
 // the store for all members violate no invariant either, and all jobs end as expected.
 func TestInvariantsDuringRandomHandoversWithPeerLeases(t *testing.T) {
 	t.Parallel()
-	kinds := slices.Concat(handoverKinds, []string{"outage", "outage", "outage", "outage", "cutPeers"})
-	checkScriptsWith(t, func(t *rapid.T) script { return drawHandoverScriptOf(t, kinds) }, withPeerLeases(peerLeaseLimit))
+	checkScriptsWith(t, drawPeerLeaseScript, withPeerLeases(peerLeaseLimit))
 }
 
 // A faultRule decides the faults of orders and of store calls while it is active.
@@ -223,8 +267,16 @@
 			calls++
 			return testbed.Delivery{LateBy: time.Duration(500+400*fault.index) * time.Millisecond}, strings.HasSuffix(op, " start") && calls%2 == 0
 		}})
-	case "outage":
-		p.faultRules.applyFor(fault.duration, faultRule{call: func(string, string, string) (memory.Fault, bool) { return memory.FaultLostCall, true }})
+	case "outage", "outageKillsOwner":
+		var outage sync.WaitGroup
+		outage.Go(func() {
+			p.faultRules.applyFor(fault.duration, faultRule{call: func(string, string, string) (memory.Fault, bool) { return memory.FaultLostCall, true }})
+		})
+		if owned && fault.kind == "outageKillsOwner" {
+			time.Sleep(fault.duration * time.Duration(1+fault.index) / 10)
+			p.inject(scriptedFault{kind: "kill", duration: fault.duration, index: slices.Index([]string{"n0", "n1", "n2"}, owner)})
+		}
+		outage.Wait()
 	case "storeLosesAnswers", "storeIsLate":
 		storeFault := map[string]memory.Fault{"storeLosesAnswers": memory.FaultLostAnswer, "storeIsLate": memory.FaultLate}[fault.kind]
 		p.faultRules.applyFor(fault.duration, faultRule{call: func(_, op, _ string) (memory.Fault, bool) {
