--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -42,8 +42,6 @@
 	ended    []*entry
 	// begun holds the jobs that the batch stores as begun.
 	begun []*entry
-	// doneSteps holds for each job that may start tasks unrecorded which steps the batch stores as done.
-	doneSteps map[*entry][]bool
 	// assumed holds the jobs whose assumed first runs the batch stores.
 	assumed []*entry
 	// endedOn holds one worker for each end of a run that the batch stores.
@@ -81,7 +79,7 @@
 // is taken. The limit matters while the store is slow: each transaction then takes some tenths of a
 // second, and tasks whose placement is not stored reserve capacity without running.
 func (s *Scheduler) TakeBatch(entries int) Batch {
-	batch := Batch{acks: make(map[*Worker]int64), doneSteps: make(map[*entry][]bool), Complete: true}
+	batch := Batch{acks: make(map[*Worker]int64), Complete: true}
 	taken := make(map[*entry]bool)
 	s.urgent = false
 	s.batchLimited = entries <= smallBatchEntries
@@ -101,9 +99,6 @@
 		}
 		if e.ended == "" {
 			record.Progress = e.job.EncodeProgress()
-			if done := doneSteps(e.job); done != nil {
-				batch.doneSteps[e] = done
-			}
 		} else {
 			batch.ended = append(batch.ended, e)
 		}
@@ -195,9 +190,6 @@
 	for _, e := range batch.begun {
 		e.begunStored = true
 	}
-	for e, done := range batch.doneSteps {
-		e.doneStored = done
-	}
 	s.unrecorded.assumedInBatch -= len(batch.assumed)
 	for _, r := range batch.starts {
 		s.noteRecorded(r)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -79,9 +79,6 @@
 	begun bool
 	// begunStored reports whether the job is stored as begun.
 	begunStored bool
-	// doneStored reports for each step whether it is stored as done, nil if no step may be. It is not
-	// kept for recurring jobs.
-	doneStored []bool
 	// ended is the job's final status, empty while the job is open.
 	ended workload.Status
 }
@@ -197,7 +194,7 @@
 	if _, ok := s.endedJobs[j.ID()]; ok {
 		return false
 	}
-	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun(), doneStored: doneSteps(j)}
+	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun()}
 	s.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 && !e.account.atCap() {
 		s.arrivals.add(now, j, s.estimates)
--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -73,40 +73,11 @@
 	return !step.Gang && !step.Service && !step.Copies && !j.Policy().Advised && j.Spec().Recur.Times == 0
 }
 
-// doneSteps returns for each step of a job whether it is done, nil if none is or the job recurs.
-func doneSteps(j *workload.Job) []bool {
-	o := j.Occurrence(0)
-	if o == nil || j.Spec().Recur.Times > 0 {
-		return nil
-	}
-	var done []bool
-	for n := range o.Steps {
-		if o.Remaining(n) == 0 {
-			if done == nil {
-				done = make([]bool, len(o.Steps))
-			}
-			done[n] = true
-		}
-	}
-	return done
-}
-
 // mayStartUnrecorded reports whether a task with the given run number may be started before that is
 // stored. The job must be stored as begun, because a successor holds back the tasks of such jobs
-// only. The steps that the task waits for must be stored as done, because a successor could otherwise
-// run them again beside it. Steps before these need no check: these started only after them.
+// only.
 func (e *entry) mayStartUnrecorded(step *workload.Step, number int) bool {
-	return number == firstRun && e.begunStored && startsUnrecorded(e.job, step) && e.storedAsDone(step.After)
-}
-
-// storedAsDone reports whether all of the given steps are stored as done.
-func (e *entry) storedAsDone(steps []int) bool {
-	for _, n := range steps {
-		if n >= len(e.doneStored) || !e.doneStored[n] {
-			return false
-		}
-	}
-	return true
+	return number == firstRun && e.begunStored && startsUnrecorded(e.job, step)
 }
 
 // mayRelease reports whether the start of a run may be sent before it is stored. A run that was
