--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	defer output.Close()
-	cmd := exec.Command(program, "join", "-settings="+e.path)
+	cmd := exec.Command(program, "join", "-settings="+e.path, "-deadline-age", "-peer-lease-limit=8s")
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		return err
