--- a/intake/service.go
+++ b/intake/service.go
@@ -39,11 +39,9 @@
 	// RetryAfter is after which time a refused customer should retry. Outages of
 	// the store last for seconds.
 	//
-	// It is the same for all. Customers arrive spread over the second, and so do their
-	// retries: of 150 after an outage, at most 16 come within 100 ms, where an even spread has
-	// 15 (TestLoadAfterOutage of package schedule). Retry-After has whole seconds: 0 s would be
-	// untrue, and a mixture with 2 s, or refusals that are held back, would have them retry
-	// later on average, although a customer gives up 3 s after its first attempt.
+	// It is the same for all: customers arrive spread over the second, and so do their retries,
+	// see TestLoadAfterOutage of package schedule. Retry-After has whole seconds, and a longer
+	// delay would come too close to the time after which customers give up.
 	RetryAfter = time.Second
 )
 
--- a/intake/submission_age.go
+++ b/intake/submission_age.go
@@ -26,8 +26,8 @@
 	// maxDeadlineSamples is the number of first deadlines at which all counts are halved, so that
 	// new ones replace old ones.
 	maxDeadlineSamples = 512
-	// maxUsualDeadlines bounds the values that are counted for one source.
-	maxUsualDeadlines = 16
+	// maxCountedDeadlines bounds the values that are counted for one source.
+	maxCountedDeadlines = 16
 	// minUsualShare is the share of first deadlines from which a value is a usual one. It keeps
 	// the deadlines of the few retries that are counted by mistake from hiding later retries.
 	minUsualShare = 0.02
@@ -49,8 +49,8 @@
 // the first deadlines that are usual for the same customer and queue are: they are counted while
 // there are no retries, because all submissions have been stored for retryWindow.
 //
-// Some clients have short deadlines by nature. Such a client must not count as one that has waited,
-// nor be ranked behind others as hopeless. Therefore:
+// Some clients always set short deadlines. Such a client must not count as one that has waited, nor
+// be ranked behind others as unable to meet its objective. Therefore:
 //
 //   - Ages are derived only within retryWindow after a submission that this member could not
 //     store. At all other times every age is zero.
@@ -183,7 +183,7 @@
 			return
 		}
 	}
-	if len(c.values) < maxUsualDeadlines {
+	if len(c.values) < maxCountedDeadlines {
 		c.values = append(c.values, deadlineCount{least: d, n: 1})
 	}
 }
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -32,8 +32,8 @@
 	age, remaining time.Duration
 }
 
-// logAge returns the attributes of an event about the submission for its age, if it has one.
-func (s Submission) logAge() slog.Attr {
+// ageAttr returns the attributes of an event about the submission for its age, if it has one.
+func (s Submission) ageAttr() slog.Attr {
 	if s.age == 0 {
 		return slog.Attr{}
 	}
@@ -148,7 +148,7 @@
 	var refused, refusedHere *RefusedError
 	switch {
 	case err == nil:
-		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause), s.logAge())
+		event.JobHandedOn.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("peer", peer), slog.Any("reason", cause), s.ageAttr())
 		return nil
 	case errors.As(cause, &ambiguous):
 		return cause
@@ -191,7 +191,7 @@
 		return &TakenError{ID: s.ID}
 	}
 	event.JobAccepted.Log(svc.logger, slog.String("job", s.ID), slog.String("queue", s.Queue), slog.String("pool", s.Pool), slog.String("customer", s.By.Name),
-		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)), s.logAge())
+		slog.Bool("known", result.existed), slog.Duration("took", svc.clock.Now().Sub(now)), s.ageAttr())
 	switch {
 	case result.existed && result.open:
 		svc.notifyExisting(ctx, s, result)
--- a/member/owner_leases.go
+++ b/member/owner_leases.go
@@ -39,9 +39,9 @@
 
 	mu       sync.Mutex
 	revision pointport.Revision // of the standby key
-	// inherited is the Unrecorded of the stored document.
-	inherited bool
-	change    *documentChange // the change that has no answer yet
+	// storedUnrecorded is the Unrecorded of the stored document.
+	storedUnrecorded bool
+	change           *documentChange // the change that has no answer yet
 }
 
 // newOwnerLeases returns the leases of an ownership whose standby key is known.
@@ -49,7 +49,7 @@
 	l := &ownerLeases{roster: r, pool: pool, fence: fence, revision: stored.revision}
 	var standbys []peerlease.Process
 	if stored.revision != 0 && stored.document.ID == r.self.Process && stored.document.Fence == fence {
-		standbys, l.inherited = stored.document.Standbys, stored.document.Unrecorded
+		standbys, l.storedUnrecorded = stored.document.Standbys, stored.document.Unrecorded
 	}
 	l.proof = peerlease.NewProof(r.clock, r.leases.limit, standbys)
 	return l
@@ -83,7 +83,8 @@
 	}
 }
 
-// leaseTracker is the state of keepProven.
+// A leaseTracker does the periodic work for one ownership: it requests leases, logs their use, and
+// stores an outdated standby key. Only keepProven's goroutine uses the fields above mu.
 type leaseTracker struct {
 	roster *Roster
 	own    Ownership
@@ -134,8 +135,6 @@
 	req := pointport.PeerLeaseRequest{Pool: t.own.Pool, Fence: t.own.Fence, Standby: s.ID}
 	reply, err := t.roster.leases.client.RequestPeerLease(ctx, s.Peer, req)
 	switch {
-	case ctx.Err() != nil && err == nil:
-		return
 	case err != nil:
 		t.refused(s, err.Error())
 	case reply.Refusal != "":
@@ -174,19 +173,19 @@
 		event.PeerLeasesHeld.Log(t.roster.logger, slog.String("pool", t.own.Pool), slog.Int64("fence", int64(t.own.Fence)), slog.Int("standbys", len(t.leases.proof.Needed())))
 		return
 	}
-	t.logOver()
+	t.noteLeasesOver()
 }
 
 // finish reports the end of the ownership.
 func (t *leaseTracker) finish() {
 	if t.using {
 		t.using = false
-		t.logOver()
+		t.noteLeasesOver()
 	}
 }
 
-// logOver logs that the ownership is not proven by peer leases any more.
-func (t *leaseTracker) logOver() {
+// noteLeasesOver logs that the ownership is not proven by peer leases any more.
+func (t *leaseTracker) noteLeasesOver() {
 	t.roster.leases.inUse.Add(-1)
 	t.mu.Lock()
 	refusal := t.lastReason
--- a/member/ownership.go
+++ b/member/ownership.go
@@ -71,22 +71,23 @@
 	o.proof.settled = o.proof.settled || !unrecorded
 }
 
-// isUnrecorded reports whether tasks were started whose start is not recorded in the store.
-func (p *proof) isUnrecorded() bool {
+// notedUnrecorded returns the argument of the last call of NoteUnrecorded. It is true for starts of
+// this owner and, once its controller has loaded, for those of a predecessor that are not settled.
+func (p *proof) notedUnrecorded() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.unrecorded
 }
 
-// isInherited reports whether a predecessor's starts are not settled yet.
-func (p *proof) isInherited() bool {
+// predecessorUnsettled reports whether a predecessor's starts are not settled yet.
+func (p *proof) predecessorUnsettled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.predecessorUnrecorded && !p.settled
 }
 
-// hasUnrecorded reports whether starts of this owner or of a predecessor may not be recorded.
-func (p *proof) hasUnrecorded() bool { return p.isUnrecorded() || p.isInherited() }
+// mayHaveUnrecorded reports whether starts of this owner or of a predecessor may not be recorded.
+func (p *proof) mayHaveUnrecorded() bool { return p.notedUnrecorded() || p.predecessorUnsettled() }
 
 // prove notes that a call made at the steady time from found the owner key unchanged.
 func (o Ownership) prove(from time.Time) {
@@ -249,7 +250,7 @@
 		If:     []pointport.Condition{{Key: key, Revision: own.Revision}},
 		Delete: []string{key},
 	}
-	if own.proof.leases != nil && !own.proof.hasUnrecorded() && r.leases.recorded(own.Pool, own.Fence) {
+	if own.proof.leases != nil && !own.proof.mayHaveUnrecorded() && r.leases.recorded(own.Pool, own.Fence) {
 		txn.Delete = append(txn.Delete, StandbyKey(own.Pool))
 	}
 	_, err := r.kv.Commit(ctx, txn)
--- a/member/peer_leases.go
+++ b/member/peer_leases.go
@@ -46,7 +46,8 @@
 	inUse            atomic.Int64 // number of ownerships that are proven only by peer leases
 
 	mu sync.Mutex
-	// acting holds the pools that this member owns or is about to take.
+	// acting holds the pools that this member owns or is about to take. It mirrors the state in
+	// grants, which does not answer for former owners.
 	acting map[string]bool
 	// last holds the last ownership of each pool, and lastFence its fence.
 	last      map[string]*proof
@@ -91,12 +92,13 @@
 	p.mu.Lock()
 	last, lastFence := p.last[pool], p.lastFence[pool]
 	p.mu.Unlock()
-	return last == nil || lastFence != fence || !last.hasUnrecorded()
+	return last == nil || lastFence != fence || !last.mayHaveUnrecorded()
 }
 
 // GrantPeerLease answers another member's request for a peer lease.
 func (r *Roster) GrantPeerLease(req pointport.PeerLeaseRequest) pointport.PeerLeaseReply {
 	if r.leases == nil {
+		// A member without peer leases has no process ID, so the request was meant for another process.
 		return pointport.PeerLeaseReply{Refusal: string(peerlease.RefusalProcess)}
 	}
 	refusal := r.leases.grants.Grant(peerlease.Request(req), r.session.answering())
@@ -114,6 +116,7 @@
 	p := r.leases
 	switch {
 	case p == nil || req.Process != p.self.ID:
+		// AnswerRestarted, as set above.
 	case req.FormerOwner:
 		p.mu.Lock()
 		acting := p.acting[req.Pool]
--- a/member/pool_manager.go
+++ b/member/pool_manager.go
@@ -382,7 +382,7 @@
 	var t *takeover
 	if m.vacancies != nil {
 		var wait time.Duration
-		if t, wait = m.vacancies.decide(ctx, pool); t == nil {
+		if t, wait = m.vacancies.prepareTakeover(ctx, pool); t == nil {
 			return wait
 		}
 	}
--- a/member/session.go
+++ b/member/session.go
@@ -188,7 +188,9 @@
 
 // answering reports whether the store answers this member, by the call that is in flight or by the
 // last one. If the last answer is old, it starts another call, so that the next answer to the same
-// question is based on it. It notices an outage sooner than Reachable, and being wrong does no harm.
+// question is based on it. It notices an outage sooner than Reachable. An error is
+// safe: a wrong true only refuses a lease, and a wrong false only grants one, which delays this
+// member's own takeover.
 func (s *Session) answering() bool {
 	s.mu.Lock()
 	now := s.clock.Steady()
--- a/member/standby_key.go
+++ b/member/standby_key.go
@@ -29,13 +29,13 @@
 
 // newDocumentChange returns the change that stores a list of standbys. Without standbys the key is
 // deleted, unless it must tell a successor that tasks may have been started without a record.
-func (r *Roster) newDocumentChange(pool string, fence pointport.Fence, standbys []peerlease.Process, inherited bool) (*documentChange, error) {
+func (r *Roster) newDocumentChange(pool string, fence pointport.Fence, standbys []peerlease.Process, unrecorded bool) (*documentChange, error) {
 	c := &documentChange{key: StandbyKey(pool)}
-	if len(standbys) == 0 && !inherited {
+	if len(standbys) == 0 && !unrecorded {
 		return c, nil
 	}
 	d := peerlease.NewDocument(r.self.process(), fence, standbys, r.leases.limit, r.session.TTL())
-	d.Unrecorded = inherited
+	d.Unrecorded = unrecorded
 	if len(standbys) == 0 {
 		d.Bound = idleBound
 	}
@@ -71,10 +71,10 @@
 	return c.document.Standbys
 }
 
-// outdated returns the standbys and the mark that should be stored, and false if the stored ones
+// outdated returns the standbys and the value of Unrecorded that should be stored, and false if the stored ones
 // are right.
-func (l *ownerLeases) outdated(own Ownership) (standbys []peerlease.Process, inherited, ok bool) {
-	if own.proof.isUnrecorded() {
+func (l *ownerLeases) outdated(own Ownership) (standbys []peerlease.Process, unrecorded, ok bool) {
+	if own.proof.notedUnrecorded() {
 		// A standby of a new list, which never granted a lease, would tell a successor that all
 		// starts are recorded.
 		return nil, false, false
@@ -84,22 +84,22 @@
 	if !changed {
 		standbys = stored
 	}
-	inherited = own.proof.isInherited()
+	unrecorded = own.proof.predecessorUnsettled()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return standbys, inherited, changed || inherited != l.inherited
+	return standbys, unrecorded, changed || unrecorded != l.storedUnrecorded
 }
 
 // begin returns the change that makes the standby key right and the key's revision, and notes that
 // the change is about to be sent. It returns nil if there is none, or another has no answer yet.
 func (l *ownerLeases) begin(own Ownership) (*documentChange, pointport.Revision) {
-	standbys, inherited, ok := l.outdated(own)
+	standbys, unrecorded, ok := l.outdated(own)
 	if !ok {
 		return nil, 0
 	}
-	c, err := l.roster.newDocumentChange(l.pool, l.fence, standbys, inherited)
+	c, err := l.roster.newDocumentChange(l.pool, l.fence, standbys, unrecorded)
 	if err != nil {
-		l.roster.logStandbys(l.pool, err)
+		l.roster.logChangeAmbiguous(l.pool, err)
 		return nil, 0
 	}
 	l.mu.Lock()
@@ -110,7 +110,7 @@
 	l.proof.BeginChange(c.standbys())
 	// The owner checks its proof between NoteUnrecorded and the first such start. So either this
 	// check finds the start, or that one needs the leases of the new list.
-	if own.proof.isUnrecorded() {
+	if own.proof.notedUnrecorded() {
 		l.proof.EndChange(false)
 		return nil, 0
 	}
@@ -122,7 +122,7 @@
 func (l *ownerLeases) end(c *documentChange, at pointport.Revision) {
 	l.mu.Lock()
 	e := c.entry(at)
-	l.revision, l.inherited, l.change = e.Revision(), c.document != nil && c.document.Unrecorded, nil
+	l.revision, l.storedUnrecorded, l.change = e.Revision(), c.document != nil && c.document.Unrecorded, nil
 	l.proof.EndChange(true)
 	l.mu.Unlock()
 	l.roster.apply([]pointport.Entry{e})
@@ -172,7 +172,7 @@
 			t.resolve(c, conflict)
 			return
 		}
-		t.roster.logStandbys(t.own.Pool, err)
+		t.roster.logChangeAmbiguous(t.own.Pool, err)
 		sleep(ctx, t.roster.clock, retry.after(err))
 	}
 }
--- a/member/standbys.go
+++ b/member/standbys.go
@@ -168,7 +168,7 @@
 	return rank
 }
 
-// logStandbys logs that the standbys of a pool cannot be stored.
-func (r *Roster) logStandbys(pool string, err error) {
+// logChangeAmbiguous logs that the standbys of a pool cannot be stored.
+func (r *Roster) logChangeAmbiguous(pool string, err error) {
 	event.ChangeAmbiguous.Log(r.logger, slog.String("pool", pool), slog.String("key", StandbyKey(pool)), slog.Any("error", err))
 }
--- a/member/vacancies.go
+++ b/member/vacancies.go
@@ -105,8 +105,10 @@
 	return known
 }
 
-// decide returns how this member takes a pool, or nil and how long to wait until the next decision.
-func (v *vacancies) decide(ctx context.Context, pool string) (*takeover, time.Duration) {
+// prepareTakeover returns the takeover to send, or nil and how long to wait until the next call. It
+// asks the members that the standby key names if needed. Before it returns a takeover, this member has
+// stopped granting leases for the pool.
+func (v *vacancies) prepareTakeover(ctx context.Context, pool string) (*takeover, time.Duration) {
 	stored, now := v.roster.document(pool), v.leases.clock.Steady()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -139,6 +141,7 @@
 		wait = max(wait, remaining)
 	}
 	if wait > 0 {
+		// Grants stay blocked, so that the remaining time cannot grow.
 		v.logWait(pool, known, wait, now, "a lease that this member has granted lasts")
 		return nil, wait
 	}
@@ -152,15 +155,15 @@
 	return !verdict.Recorded && !known.asked && d != nil && !d.Unrecorded && d.ID != v.leases.self.ID
 }
 
-// newTakeover returns the decision to take a pool. inherited reports whether the former owner may
+// newTakeover returns the decision to take a pool. unrecorded reports whether the former owner may
 // have started tasks that are not recorded.
-func (r *Roster) newTakeover(pool string, stored storedDocument, inherited bool) (*takeover, time.Duration) {
+func (r *Roster) newTakeover(pool string, stored storedDocument, unrecorded bool) (*takeover, time.Duration) {
 	r.mu.Lock()
 	standbys := r.chooseStandbys(pool)
 	r.mu.Unlock()
-	c, err := r.newDocumentChange(pool, 0, standbys, inherited)
+	c, err := r.newDocumentChange(pool, 0, standbys, unrecorded)
 	if err != nil {
-		r.logStandbys(pool, err)
+		r.logChangeAmbiguous(pool, err)
 		return nil, rankDelay
 	}
 	return &takeover{known: stored.revision, change: c}, 0
--- a/peerlease/doc.go
+++ b/peerlease/doc.go
@@ -15,14 +15,14 @@
 //
 //   - A standby counts a lease from its receipt, the owner from before its request, and for less
 //     time. Both count time during which their machine is suspended.
-//   - Whoever is asked by a Document's reader is also asked by the owner: the owner needs the leases
+//   - Each standby that a taker may ask is one whose lease the owner needs: it needs the leases
 //     of the standbys of every Document that the store may hold.
 //   - An owner that finds an ownership of its own again, which it had dropped, has no standbys until
 //     it has stored its Document again: a list that it sent before may still be carried out.
 //   - A standby that has allowed a takeover, or has sent the transaction of its own, grants no more
 //     leases to that owner.
-//   - A document whose owner does not know of all starts of the owners before it says so, until it
-//     does. No successor takes these starts for recorded.
+//   - While an owner does not know all starts of its predecessors, its Document has Unrecorded set,
+//     and no successor treats those starts as recorded.
 //   - An owner holds no lease for longer than the Bound of its Document after its key is gone.
 //
 // The package does no input or output. All times are steady times of the member's own clock.
--- a/peerlease/document.go
+++ b/peerlease/document.go
@@ -78,13 +78,13 @@
 	return d, nil
 }
 
-// sameMachine reports whether two processes have the same member name and address, so that at most
+// sameMember reports whether two processes have the same member name and address, so that at most
 // one of them is running.
-func (p Process) sameMachine(q Process) bool { return p.Name == q.Name && p.Peer == q.Peer }
+func (p Process) sameMember(q Process) bool { return p.Name == q.Name && p.Peer == q.Peer }
 
 // standby returns the standby on the machine of a process.
 func (d *Document) standby(self Process) (Process, bool) {
-	n := slices.IndexFunc(d.Standbys, self.sameMachine)
+	n := slices.IndexFunc(d.Standbys, self.sameMember)
 	if n < 0 {
 		return Process{}, false
 	}
--- a/peerlease/model_test.go
+++ b/peerlease/model_test.go
@@ -365,11 +365,11 @@
 
 // vacancyOf returns the Vacancy of a process.
 func (p *procState) vacancyOf() *Vacancy {
-	v := &Vacancy{Document: p.vacancy.doc.document(), Since: after(-p.vacancy.since), recorded: p.vacancy.recorded}
+	v := &Vacancy{Document: p.vacancy.doc.document(), Since: after(-p.vacancy.since), recordedByAnswer: p.vacancy.recorded}
 	v.Recorded = !p.unrecorded && !p.inherited
 	p.withGrants(func(g *Grants) { v.Granted = g.Granted(pool, pointport.Fence(p.vacancy.doc.fence)) })
 	if p.vacancy.answered {
-		v.freeAt = after(p.vacancy.freeIn)
+		v.freeByAnswerAt = after(p.vacancy.freeIn)
 	}
 	return v
 }
--- a/peerlease/steps_test.go
+++ b/peerlease/steps_test.go
@@ -431,10 +431,10 @@
 	}
 	v.Note(epoch, asked, a)
 	if o.restartedFreeAtOnce && a.Kind == AnswerRestarted {
-		v.free(epoch)
+		v.noteFreeAt(epoch)
 	}
-	if !v.freeAt.IsZero() {
-		q.vacancy.answered, q.vacancy.freeIn = true, max(0, until(v.freeAt))
+	if !v.freeByAnswerAt.IsZero() {
+		q.vacancy.answered, q.vacancy.freeIn = true, max(0, until(v.freeByAnswerAt))
 	}
-	q.vacancy.recorded = v.recorded
+	q.vacancy.recorded = v.recordedByAnswer
 }
--- a/peerlease/takeover.go
+++ b/peerlease/takeover.go
@@ -44,8 +44,8 @@
 	// Recorded reports whether this process, as the former owner, has recorded all its starts.
 	Recorded bool
 
-	freeAt   time.Time // by the answers; zero while none says
-	recorded bool      // by the answers
+	freeByAnswerAt   time.Time // zero until an answer gives a time
+	recordedByAnswer bool
 }
 
 // Note takes account of an answer that came at now from the process of the document that was asked.
@@ -56,19 +56,19 @@
 	owner := asked.ID == v.Document.ID
 	switch {
 	case owner && (a.Kind == AnswerReleased || a.Kind == AnswerRestarted):
-		v.free(now)
+		v.noteFreeAt(now)
 	case !owner && a.Kind == AnswerAllowed:
-		v.free(now.Add(a.Remaining))
+		v.noteFreeAt(now.Add(a.Remaining))
 	case !owner && a.Kind == AnswerRestarted:
-		v.free(now.Add(Duration))
+		v.noteFreeAt(now.Add(Duration))
 	}
-	v.recorded = v.recorded || a.Recorded && (a.Kind == AnswerReleased || a.Kind == AnswerAllowed)
+	v.recordedByAnswer = v.recordedByAnswer || a.Recorded && (a.Kind == AnswerReleased || a.Kind == AnswerAllowed)
 }
 
-// free notes that the pool is free from a time on.
-func (v *Vacancy) free(at time.Time) {
-	if v.freeAt.IsZero() || at.Before(v.freeAt) {
-		v.freeAt = at
+// noteFreeAt notes that the pool is free from a time on.
+func (v *Vacancy) noteFreeAt(at time.Time) {
+	if v.freeByAnswerAt.IsZero() || at.Before(v.freeByAnswerAt) {
+		v.freeByAnswerAt = at
 	}
 }
 
@@ -90,31 +90,31 @@
 	if d == nil {
 		return Verdict{At: now, Recorded: true, Reason: "no owner has used peer leases"}
 	}
-	out := v.verdict(now, self, started)
+	out := v.verdictIgnoringUnrecorded(now, self, started)
 	// What the former owner inherited without settling it is unrecorded, whoever else answers.
 	out.Recorded = out.Recorded && !d.Unrecorded
 	return out
 }
 
-// verdict is Verdict for a pool with a document, without regard to Document.Unrecorded.
-func (v *Vacancy) verdict(now time.Time, self Process, started time.Time) Verdict {
+// verdictIgnoringUnrecorded is Verdict for a pool with a document, without regard to Document.Unrecorded.
+func (v *Vacancy) verdictIgnoringUnrecorded(now time.Time, self Process, started time.Time) Verdict {
 	d := v.Document
 	switch {
 	case d.ID == self.ID:
 		return Verdict{At: now, Recorded: v.Recorded, Reason: "this process was the owner"}
-	case d.sameMachine(self):
-		return Verdict{At: now, Recorded: v.recorded, Reason: "the owner was an earlier process of this member"}
+	case d.sameMember(self):
+		return Verdict{At: now, Recorded: v.recordedByAnswer, Reason: "the owner was an earlier process of this member"}
 	}
 	listed, ok := d.standby(self)
 	if ok && listed.ID == self.ID {
 		return Verdict{At: now, Recorded: !v.Granted, Reason: "this process is a standby"}
 	}
-	out := Verdict{At: v.Since.Add(d.Bound), Recorded: v.recorded, Reason: "nobody has said that the owner has stopped"}
+	out := Verdict{At: v.Since.Add(d.Bound), Recorded: v.recordedByAnswer, Reason: "nobody has said that the owner has stopped"}
 	if restarted := started.Add(Duration); ok && restarted.Before(out.At) {
 		out.At, out.Reason = restarted, "leases of the earlier process of this standby may last"
 	}
-	if !v.freeAt.IsZero() && !v.freeAt.After(out.At) {
-		out.At, out.Reason = v.freeAt, "a member that the document names has answered"
+	if !v.freeByAnswerAt.IsZero() && !v.freeByAnswerAt.After(out.At) {
+		out.At, out.Reason = v.freeByAnswerAt, "a member that the document names has answered"
 	}
 	out.Ask = out.At.After(now)
 	return out
--- a/schedule/batch.go
+++ b/schedule/batch.go
@@ -111,7 +111,7 @@
 	s.unstoredStarts = slices.DeleteFunc(s.unstoredStarts, func(r *Run) bool {
 		if taken[r.entry] {
 			batch.starts = append(batch.starts, r)
-			s.noteTaken(r)
+			s.noteMovedToBatch(r)
 		}
 		return taken[r.entry]
 	})
@@ -154,10 +154,10 @@
 // placementsFull reports whether so many tasks, or tasks of so many jobs, wait to be stored that
 // further placements would only reserve capacity without running.
 func (s *Scheduler) placementsFull() bool {
-	if s.waitingForStore() >= s.maxUnstoredStarts {
+	if s.unsentStarts() >= s.maxUnstoredStarts {
 		return true
 	}
-	if !s.batchLimited || s.waitingForStore() < maxUnstoredJobs {
+	if !s.batchLimited || s.unsentStarts() < maxUnstoredJobs {
 		return false
 	}
 	jobs := make(map[*entry]bool)
--- a/schedule/hold.go
+++ b/schedule/hold.go
@@ -43,9 +43,9 @@
 	return &hold{jobs: make(map[*entry]struct{}), customers: make(map[*account]struct{})}
 }
 
-// holdBack adds a job that was read at the takeover to the hold, if the previous owner may have
+// addToHold adds a job that was read at the takeover to the hold, if the previous owner may have
 // started tasks of it unrecorded.
-func (s *Scheduler) holdBack(e *entry) {
+func (s *Scheduler) addToHold(e *entry) {
 	if s.hold == nil || !e.begunStored {
 		return
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -204,7 +204,7 @@
 	}
 	s.invalidateReady(e)
 	s.inheritRuns(now, e)
-	s.holdBack(e)
+	s.addToHold(e)
 	if j.Stopping() {
 		s.stopAll(now, e, "its job was cancelled or has failed")
 	}
--- a/schedule/unrecorded.go
+++ b/schedule/unrecorded.go
@@ -134,8 +134,8 @@
 		slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.placedAt)))
 }
 
-// noteTaken records that a run was moved from unstoredStarts to a batch.
-func (s *Scheduler) noteTaken(r *Run) {
+// noteMovedToBatch records that a run was moved from unstoredStarts to a batch.
+func (s *Scheduler) noteMovedToBatch(r *Run) {
 	if r.unrecorded {
 		s.unrecorded.releasedUnstored--
 	}
@@ -149,8 +149,8 @@
 	}
 }
 
-// waitingForStore returns how many placed tasks wait for their start to be stored.
-func (s *Scheduler) waitingForStore() int {
+// unsentStarts returns how many placed tasks wait for their start to be stored.
+func (s *Scheduler) unsentStarts() int {
 	return len(s.unstoredStarts) - s.unrecorded.releasedUnstored
 }
 
--- a/shard/unrecorded.go
+++ b/shard/unrecorded.go
@@ -21,7 +21,7 @@
 	}
 	o.noteUnrecorded(true)
 	if !o.peerLease.PeerLeased() {
-		return // a change of standbys may have begun before it was noted
+		return // a change of the standbys that began before requires leases of the new ones as well
 	}
 	o.scheduler.ReleaseUnrecorded(&o.storing, now)
 }
