Remote tests: serve a large list that is compressed before

The test compressed 65 MiB while it served them; under the race detector beside load (40 on 12 cores) the response paused for 2 s, after which the client gives up.

--- a/remote/client_test.go
+++ b/remote/client_test.go
@@ -1,6 +1,7 @@
 package remote_test
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -129,17 +130,22 @@
 
 // Guards against a response that is cut at the client's limit and then reported as invalid JSON.
 func TestTooLargeResponsesAreNamed(t *testing.T) {
+	// Compressed before it is served: the client gives up on a response that pauses for 2 s.
+	var list bytes.Buffer
+	z := gzip.NewWriter(&list)
+	for range 65 {
+		_, _ = z.Write(make([]byte, 1<<20))
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Accept-Encoding") != "gzip" {
 			_, _ = w.Write(make([]byte, 2<<20+1))
 			return
 		}
 		w.Header().Set("Content-Encoding", "gzip")
-		z := gzip.NewWriter(w)
-		for range 65 {
-			_, _ = z.Write(make([]byte, 1<<20))
-		}
-		_ = z.Close()
+		_, _ = w.Write(list.Bytes())
 	}))
 	defer srv.Close()
 	c := remote.New(srv.URL)
