Delete stored cancellations after the records of their jobs

Promise: from the acknowledgement of a cancellation on, the store shows it, as the member's key or in the job's own record, until the job has ended.

Cause: a batch of several transactions deleted the keys in the first one, and stored the records of most of their jobs in later ones. An owner that ended between two of them, killed or stopped as planned, left jobs that wait and no key; its successor ran them.

Change: keys are deleted last. A batch that ends anywhere leaves keys of jobs whose records are stored; the next owner applies these again, which changes nothing. A key that a reread of the store delivers again is not deleted twice.

The fleet of the tests reports a start that is sent more than 3 s after the acknowledgement. Tests ended processes at random times, and took a cancelled job that had completed for one that was done before; both hid the fault.

Tests of node, shard pass.

--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -99,16 +99,6 @@
 	}
 }
 
-// takeCancellation applies a cancellation that another member has stored under key.
-func (o *Owner) takeCancellation(now time.Time, id, key string) {
-	outcome := "ended"
-	if o.scheduler.Cancel(now, id) {
-		outcome = "applied"
-	}
-	event.CancellationTaken.Log(o.logger, slog.String("job", id), slog.String("outcome", outcome))
-	o.removals = append(o.removals, key)
-}
-
 // addJob adds a job from its accepted form and its stored progress, if any. A job whose
 // progress cannot be decoded is ignored for as long as this owner works: the watch of open
 // jobs delivers it again without progress, and the job would run again from the beginning.
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -12,6 +12,8 @@
 //
 //   - A start is sent only after the batch that records it is stored, except for those that
 //     package schedule lets start unrecorded while the owner is proven by peer leases alone.
+//   - A cancellation that a member has stored for the owner is deleted only after the record of
+//     its job is stored, so that the store shows it wherever the owner ends.
 //   - Nothing is sent while this member cannot prove its lease.
 //   - A write that the store refuses because another member owns the pool ends
 //     the Owner.
@@ -161,7 +163,7 @@
 	notedUnrecorded bool
 	lag             lagMeter
 	waiters         []waiter
-	removals        []string
+	cancellations   *cancellationKeys
 	caps            *caps
 	// backlogRefusals is for how long to refuse further jobs, by customer, computed at
 	// backlogRefusalsAt.
@@ -209,7 +211,7 @@
 		lease:  DefaultLease, maxHold: defaultMaxHold, gangTimeout: defaultGangTimeout, remoteDataSlowdown: defaultRemoteDataSlowdown,
 		inbox: make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
 		polls: make(map[*schedule.Worker]*pollState), queues: make(map[*schedule.Worker]*workerQueue), window: newWindow(), cancel: cancel,
-		unreadable: make(map[string]bool),
+		unreadable: make(map[string]bool), cancellations: newCancellationKeys(),
 	}
 	o.peerLease = ownership
 	for _, option := range options {
--- a/shard/records.go
+++ b/shard/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/member"
@@ -18,30 +17,40 @@
 // fastBatchEntries is the most entries of a batch while the store is fast: ten transactions.
 const fastBatchEntries = 10 * maxEntries
 
-// maxRemovals is how many of them may delete cancellation keys, so that room for records
-// remains.
-const maxRemovals = maxEntries / 2
-
-// storeRecords stores records and deletes the given keys, in as many transactions as needed.
-func (o *Owner) storeRecords(ctx context.Context, records []schedule.Record, remove []string) error {
-	txn := pointport.Txn{Delete: slices.Clone(remove)}
+// storeRecords stores records and then deletes keys, in as many transactions as needed. It may fail
+// after any of them.
+func (o *Owner) storeRecords(ctx context.Context, records []schedule.Record, deleteKeys []string) error {
+	var txn pointport.Txn
 	for _, r := range records {
-		if txn.Entries()+r.Entries() > maxEntries {
-			if err := o.writer.Commit(ctx, txn); err != nil {
-				return err
-			}
-			txn = pointport.Txn{}
+		if err := o.commitUnlessFits(ctx, &txn, r.Entries()); err != nil {
+			return err
 		}
 		if err := o.addRecord(&txn, r); err != nil {
 			return err
 		}
 	}
+	for _, key := range deleteKeys {
+		if err := o.commitUnlessFits(ctx, &txn, 1); err != nil {
+			return err
+		}
+		txn.Delete = append(txn.Delete, key)
+	}
 	if txn.Entries() == 0 {
 		return nil
 	}
 	return o.writer.Commit(ctx, txn)
 }
 
+// commitUnlessFits commits and clears a transaction unless so many more entries fit into it.
+func (o *Owner) commitUnlessFits(ctx context.Context, txn *pointport.Txn, entries int) error {
+	if txn.Entries()+entries <= maxEntries {
+		return nil
+	}
+	full := *txn
+	*txn = pointport.Txn{}
+	return o.writer.Commit(ctx, full)
+}
+
 func (o *Owner) addRecord(txn *pointport.Txn, r schedule.Record) error {
 	pool := o.ownership.Pool
 	if r.Ended == "" {
--- a/shard/write.go
+++ b/shard/write.go
@@ -29,21 +29,20 @@
 
 // write stores changed state. At most one batch is being written.
 func (o *Owner) write(ctx context.Context, now time.Time) {
-	if o.writing || !o.scheduler.Pending() && len(o.waiters) == 0 && len(o.removals) == 0 || now.Sub(o.lastWrite) < o.writeInterval() {
+	if o.writing || !o.scheduler.Pending() && len(o.waiters) == 0 && len(o.cancellations.pending) == 0 || now.Sub(o.lastWrite) < o.writeInterval() {
 		return
 	}
-	removals := o.removals[:min(len(o.removals), maxRemovals)]
-	batch := o.scheduler.TakeBatch(o.maxBatchEntries() - len(removals))
-	if batch.Complete {
-		o.removals = o.removals[len(removals):]
-	} else {
-		removals = nil // the changes that a removed key asks for may be left for the next batch
+	limit := o.maxBatchEntries()
+	batch := o.scheduler.TakeBatch(limit)
+	var cancellations []string
+	if batch.Complete { // otherwise the records of the cancelled jobs may be left for later batches
+		cancellations = o.cancellations.take(limit - batch.Entries())
 	}
 	waiters := o.takeWaiters(batch)
-	transactions := 1 + batch.Entries()/maxEntries
+	transactions := 1 + (batch.Entries()+len(cancellations))/maxEntries
 	o.writing, o.lastWrite, o.storing = true, now, batch
 	go func() {
-		err := o.storeRecords(ctx, batch.Records, removals)
+		err := o.storeRecords(ctx, batch.Records, cancellations)
 		o.enqueue(func(now time.Time) {
 			o.writing, o.storing, o.writeTime = false, schedule.Batch{}, now.Sub(o.lastWrite)/time.Duration(transactions)
 			if err != nil {
@@ -51,6 +50,7 @@
 				return
 			}
 			o.scheduler.Stored(batch, now)
+			o.cancellations.deleted(cancellations)
 			for _, w := range waiters {
 				w.notify()
 			}
