Keep stored cancellations of jobs that cannot be decoded

Found by reading each place that drops a cancellation as dealt with: an owner deleted the cancellation of any job that it does not have. It does not have a job that it cannot decode, so an acknowledged cancellation was lost, and an owner of a version that can decode the job ran it.

Change: such a cancellation stays in the store with its job, and event 560 says so (outcome unreadable). Nothing else reaches this place for an open job: an owner reads the open jobs with the cancellations, or before them.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -133,8 +133,8 @@
 	JobRefused = define(519, "job refused", slog.LevelWarn, "A job was not accepted; reason is the cause, and sure is whether it is certain that this submission never makes it run.",
 		withOutcomes("sure", "true", "false"))
 	JobCancelled      = define(520, "job cancelled", slog.LevelInfo, "A customer's cancellation of a job is stored; by is whether the pool's owner stored it or this member wrote it to the store.", withOutcomes("by", "owner", "store"))
-	CancellationTaken = define(560, "cancellation taken", slog.LevelInfo, "The owner of a pool has read a cancellation that a member stored because it could not reach the owner; outcome is whether it applies to the job or the owner has no such open job.",
-		withOutcomes("outcome", "applied", "ended"))
+	CancellationTaken = define(560, "cancellation taken", slog.LevelInfo, "The owner of a pool has read a cancellation that a member stored because it could not reach the owner; outcome is whether it applies to the job, the job has ended, or the job cannot be read, so that its cancellation stays in the store.",
+		withOutcomes("outcome", "applied", "ended", "unreadable"))
 	PeerSilent      = define(521, "peer silent", slog.LevelWarn, "Another entry instance did not answer a message about a job; it will learn of the job from the store.")
 	ServingMoved    = define(522, "serving task moved", slog.LevelInfo, "A serving task is stopped because its instance is being emptied; it starts elsewhere at once.")
 	GangGivenUp     = define(523, "gang given up", slog.LevelWarn, "The tasks of a gang did not all run in time; all are stopped and placed again.")
--- a/node/inherited_job_test.go
+++ b/node/inherited_job_test.go
@@ -63,3 +63,40 @@
 		}
 	})
 }
+
+// A customer cancels a job that its pool's owner cannot decode, and the cancellation is acknowledged
+// because the store has it. The owner must leave it there with the job: the next owner may be of a
+// version that can decode the job. If the cancellation has been deleted by then, the job goes on.
+func TestCancellationOfUnreadableJobIsKept(t *testing.T) {
+	const id = "00000000000000cc"
+	for _, name := range []string{"progress", "accepted job"} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 3, func(c *cluster) {
+				owner := c.owner("shift")
+				n := c.otherNode(owner)
+				q := queue(t, n, "shift-close")
+				submit(t, n, q, id, twoSteps(4*time.Second))
+				time.Sleep(500 * time.Millisecond) // until its progress is stored
+				key := workload.ProgressKey("shift", id)
+				if name == "accepted job" {
+					key = workload.OpenKey("shift", id)
+				}
+				stored, err := c.kv.Get(t.Context(), key)
+				if err != nil || !stored.Exists() {
+					t.Fatalf("the store has no %s (error %v)", name, err)
+				}
+				c.kill(owner)
+				c.put(key, []byte("written by another version"))
+				time.Sleep(3 * time.Second)
+				second := c.owner("shift")
+				n = c.otherNode(second)
+				c.cancel(n, q, id)
+				time.Sleep(member.DefaultRereadInterval + time.Second)
+				c.kill(second)
+				c.put(key, stored.Value())
+				c.start(second)
+				c.waitForStatus(n, q, id, workload.Cancelled, 10*time.Second)
+			}, withoutSteward())
+		})
+	}
+}
--- a/shard/cancel.go
+++ b/shard/cancel.go
@@ -50,13 +50,23 @@
 	}
 }
 
-// takeCancellation applies a cancellation that a member has stored under key.
+// takeCancellation applies a cancellation that a member has stored under key. That of a job that
+// cannot be decoded stays in the store with the job: the next owner may be of a version that can
+// decode it.
 func (o *Owner) takeCancellation(now time.Time, id, key string) {
+	if _, unreadable := o.unreadable[id]; unreadable {
+		o.logCancellation(id, "unreadable")
+		return
+	}
 	outcome := "ended"
 	if o.scheduler.Cancel(now, id) {
 		outcome = "applied"
 	}
 	if o.cancellations.add(key) {
-		event.CancellationTaken.Log(o.logger, slog.String("job", id), slog.String("outcome", outcome))
+		o.logCancellation(id, outcome)
 	}
 }
+
+func (o *Owner) logCancellation(id, outcome string) {
+	event.CancellationTaken.Log(o.logger, slog.String("job", id), slog.String("outcome", outcome))
+}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -112,11 +112,10 @@
 	}
 	if err != nil {
 		event.JobUnreadable.Log(o.logger, slog.String("job", id), slog.Any("error", err))
-		if progress != nil {
-			o.unreadable[id] = true
-		}
+		o.unreadable[id] = progress != nil
 		return
 	}
+	delete(o.unreadable, id)
 	if o.scheduler.Add(now, j) {
 		event.JobTaken.Log(o.logger, slog.String("job", id), slog.String("queue", j.Queue()),
 			slog.Duration("after", now.Sub(j.Submitted())), slog.Bool("inherited", progress != nil))
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -145,7 +145,8 @@
 	// The fields below are accessed only by the loop.
 	scheduler *schedule.Scheduler
 	loadedAt  pointport.Revision // revision at which the pool's open jobs were read
-	// unreadable contains the jobs whose stored progress cannot be decoded.
+	// unreadable contains the jobs that cannot be decoded. The value reports whether their
+	// progress is stored.
 	unreadable   map[string]bool
 	writer       *member.Writer
 	writing      bool
