Soak: owners end within batches, and checkpoints of any text

The soak killed processes at random times, cancelled single jobs, and its instances saved no checkpoints. It accepted a cancelled job that had completed, whenever that had run.

All instances save checkpoints of text that is escaped in different ways. A start of a cancelled job by an owner that has taken the pool since the acknowledgement is a violation.

--- a/soak/customer_test.go
+++ b/soak/customer_test.go
@@ -85,6 +85,7 @@
 	step := &t.spec.Steps[ref.Step]
 	w := testbed.Work{Reservation: step.Reservation(), Duration: step.Estimate, Service: step.Service}
 	w.Crashes = t.crashes && ref == workload.TaskRef{}
+	w.Checkpoint = checkpointText(id)
 	for _, a := range step.After {
 		for i := range t.spec.Steps[a].Count {
 			w.After = append(w.After, workload.TaskName(id, workload.TaskRef{Step: a, Index: i}))
@@ -103,7 +104,7 @@
 	for n := range 1 + r.IntN(3) {
 		step := workload.Step{
 			Count: 1 + r.IntN(5), Need: pointport.Shape{CPUMilli: 100 + r.Int64N(900), MemoryMiB: 64},
-			Estimate: time.Duration(50+r.IntN(900)) * time.Millisecond,
+			Estimate: time.Duration(50+r.IntN(900)) * time.Millisecond, Checkpoints: true,
 		}
 		if n > 0 {
 			step.After = []int{n - 1}
@@ -113,6 +114,16 @@
 	return s
 }
 
+// checkpointTexts are texts that are escaped in different ways where they are sent and stored.
+var checkpointTexts = []string{"k", "\x1f\x00\a\v\x7f", "\U000e0067\U0010fffd", "\u2028\ufeff\ufffd\U0001f600", "\"\\x1f</>\n"}
+
+// checkpointText returns the text of the checkpoints of a job's tasks. It depends on the job's ID
+// alone.
+func checkpointText(id string) string {
+	last := id[len(id)-1]
+	return checkpointTexts[int(last)%len(checkpointTexts)]
+}
+
 // crashEvery is how many jobs there are for each one with a task that crashes its instance, in
 // runs with fleet faults. With more such jobs, too few of the eight instances would be up at a
 // time.
@@ -239,11 +250,23 @@
 	if t.outcome != accepted || t.cancelled {
 		return
 	}
-	c.soak.jobs.update(func() { t.cancelRequested = true })
 	e := c.soak.entries[c.random.IntN(len(c.soak.entries))]
-	if err := c.clients[e].Cancel(ctx, t.queue, t.id); err == nil {
-		c.soak.jobs.update(func() { t.cancelled = true })
+	c.soak.cancel(ctx, c.clients[e], t)
+}
+
+// cancel requests the cancellation of a job with its customer's client.
+func (s *soak) cancel(ctx context.Context, client *platform.Client, t *submission) {
+	s.jobs.update(func() { t.cancelRequested = true })
+	if err := client.Cancel(ctx, t.queue, t.id); err != nil {
+		return
+	}
+	at, err := s.grid.Store().KV().Commit(context.Background(), pointport.Txn{}) // changes nothing
+	if err != nil {
+		s.fail("the store's revision cannot be read: %v", err)
+		return
 	}
+	s.grid.Fleet().NoteCancelled(t.id, at)
+	s.jobs.update(func() { t.cancelled = true })
 }
 
 // tasksNotDone returns the names of a job's tasks that have not ended as done, sorted.
--- a/soak/key_test.go
+++ b/soak/key_test.go
@@ -16,7 +16,10 @@
 // each customer's running tasks stay within its cap.
 
 // customerNames are the customers. The first submits more than its cap allows to run.
-var customerNames = []string{"bistro", "cafe", "diner"}
+var customerNames = []string{"bistro", "cafe", uncappedCustomer}
+
+// uncappedCustomer is a customer without a cap.
+const uncappedCustomer = "diner"
 
 const (
 	// foreignAccessCheckEvery is the number of a customer's jobs for each one that is queried with
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -300,6 +300,7 @@
 	withBasicFaults faultLevel = iota
 	withFleetFaults            // also fleetFaults, and tasks that crash instances
 	withLinkFaults             // also linkFaults, slow clocks, a lagging list and brief crashes
+	withBatchFaults            // also ends of owners within batches
 )
 
 // run runs one seed. Fleet faults and link faults have random sources of their own, so that
@@ -325,6 +326,9 @@
 		faults.Go(func() { s.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 4)), linkFaults) })
 		faults.Go(func() { s.crashBriefly(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	}
+	if level >= withBatchFaults {
+		faults.Go(func() { s.endOwnersWithinBatches(ctx, rand.New(rand.NewPCG(seed, 7))) })
+	}
 	faults.Go(func() { s.evacuateZones(ctx, rand.New(rand.NewPCG(seed, 6))) })
 	s.injectFaults(ctx, t, r, basicFaults)
 	faults.Wait()
@@ -347,16 +351,19 @@
 	t.Errorf("seed %d, logs in %q:\n%s\nhistory:\n%s", seed, logDir, strings.Join(s.failures, "\n"), strings.Join(s.history, "\n"))
 }
 
-// fleetFaultsMark and linkFaultsMark begin the cause of a seed in testdata/seeds.txt that runs at
+// fleetFaultsMark, linkFaultsMark and batchFaultsMark begin the cause of a seed in testdata/seeds.txt that runs at
 // that fault level.
 const (
 	fleetFaultsMark = "fleet faults: "
 	linkFaultsMark  = "link faults: "
+	batchFaultsMark = "batch faults: "
 )
 
 // faultLevelOf returns the fault level for the cause of a failed seed.
 func faultLevelOf(cause string) faultLevel {
 	switch {
+	case strings.HasPrefix(cause, batchFaultsMark):
+		return withBatchFaults
 	case strings.HasPrefix(cause, linkFaultsMark):
 		return withLinkFaults
 	case strings.HasPrefix(cause, fleetFaultsMark):
@@ -413,7 +420,7 @@
 func TestFreshSeeds(t *testing.T) {
 	limit := make(chan struct{}, *parallel)
 	for range *freshSeeds {
-		runSeedInParallel(t, limit, uint64(time.Now().UnixNano()), withLinkFaults)
+		runSeedInParallel(t, limit, uint64(time.Now().UnixNano()), withBatchFaults)
 	}
 }
 
--- a/standin/grid/grid.go
+++ b/standin/grid/grid.go
@@ -86,6 +86,7 @@
 	random          *rand.Rand
 	storeAddress    string
 	machinesAddress string
+	onCommit        func(key string) // is called with the first key of each transaction of a member
 }
 
 // Start starts a grid, which runs until Close.
@@ -111,7 +112,8 @@
 // listen opens the addresses of the store, of the machines' service and of every instance.
 func (g *Grid) listen() error {
 	var err error
-	if g.storeAddress, err = g.serve(platform.ServeStore(g.kv)); err != nil {
+	members := g.store.KV(memory.WithFaults(g.observe))
+	if g.storeAddress, err = g.serve(platform.ServeStore(members)); err != nil {
 		return err
 	}
 	g.list = newLaggingList(g.clock, g.fleet.Machines(g.settings.MinHolderInterval))
@@ -179,6 +181,25 @@
 	g.refusalPercent[id] = percent
 }
 
+// observe shows the transactions of members to the observer of SetCommitObserver.
+func (g *Grid) observe(op, key string) memory.Fault {
+	g.mu.Lock()
+	onCommit := g.onCommit
+	g.mu.Unlock()
+	if op == "commit" && onCommit != nil {
+		onCommit(key)
+	}
+	return memory.FaultNone
+}
+
+// SetCommitObserver sets the function that is called with the first key that a member's transaction
+// puts, empty if it puts none, before the transaction is carried out. Nil ends that.
+func (g *Grid) SetCommitObserver(onCommit func(key string)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onCommit = onCommit
+}
+
 // SetListFaults makes the list of machines show a state from lag ago and take latency to answer.
 func (g *Grid) SetListFaults(lag, latency time.Duration) { g.list.setFaults(lag, latency) }
 
