--- a/workload/job.go
+++ b/workload/job.go
@@ -472,3 +472,19 @@
 	}
 	return parts[0], TaskRef{numbers[0], numbers[1], numbers[2]}, nil
 }
+
+// Incarnations returns the incarnations that placed tasks were given to. It has one element
+// for each placed task.
+func (j *Job) Incarnations() []pointport.IncarnationID {
+	var out []pointport.IncarnationID
+	for _, o := range j.occurrences {
+		for _, step := range o.Steps {
+			for i := range step {
+				if step[i].Phase == Placed {
+					out = append(out, step[i].On)
+				}
+			}
+		}
+	}
+	return out
+}
