Names and conditions of the owner's writes after a newcomer's reading

The condition under which a batch is written has a function of its own. decodeProgress returned its result in one expression with the call that fills it, whose order Go leaves open.

--- a/shard/records.go
+++ b/shard/records.go
@@ -22,7 +22,7 @@
 func (o *Owner) storeRecords(ctx context.Context, records []schedule.Record, deleteKeys []string) error {
 	var txn pointport.Txn
 	for _, r := range records {
-		if err := o.commitUnlessFits(ctx, &txn, r.Entries()); err != nil {
+		if err := o.makeRoom(ctx, &txn, r.Entries()); err != nil {
 			return err
 		}
 		if err := o.addRecord(&txn, r); err != nil {
@@ -30,7 +30,7 @@
 		}
 	}
 	for _, key := range deleteKeys {
-		if err := o.commitUnlessFits(ctx, &txn, 1); err != nil {
+		if err := o.makeRoom(ctx, &txn, 1); err != nil {
 			return err
 		}
 		txn.Delete = append(txn.Delete, key)
@@ -41,8 +41,8 @@
 	return o.writer.Commit(ctx, txn)
 }
 
-// commitUnlessFits commits and clears a transaction unless so many more entries fit into it.
-func (o *Owner) commitUnlessFits(ctx context.Context, txn *pointport.Txn, entries int) error {
+// makeRoom commits and clears a transaction unless so many more entries fit into it.
+func (o *Owner) makeRoom(ctx context.Context, txn *pointport.Txn, entries int) error {
 	if txn.Entries()+entries <= maxEntries {
 		return nil
 	}
--- a/shard/write.go
+++ b/shard/write.go
@@ -27,9 +27,17 @@
 	return lazyWriteInterval
 }
 
+// writeDue reports whether there is something to write, and time for it.
+func (o *Owner) writeDue(now time.Time) bool {
+	if o.writing || now.Sub(o.lastWrite) < o.writeInterval() {
+		return false
+	}
+	return o.scheduler.Pending() || len(o.waiters) > 0 || len(o.cancellations.pending) > 0
+}
+
 // write stores changed state. At most one batch is being written.
 func (o *Owner) write(ctx context.Context, now time.Time) {
-	if o.writing || !o.scheduler.Pending() && len(o.waiters) == 0 && len(o.cancellations.pending) == 0 || now.Sub(o.lastWrite) < o.writeInterval() {
+	if !o.writeDue(now) {
 		return
 	}
 	limit := o.maxBatchEntries()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,6 +5,7 @@
 //     or drop what they carry
 //   - signals that stop, suspend, kill or throttle processes, which are then restarted or
 //     resumed
+//   - owners of pools that end with one of their transactions
 //   - log output that is not read
 //   - instances that stall
 //   - a list of machines that lags
--- a/workload/progress_string.go
+++ b/workload/progress_string.go
@@ -46,7 +46,8 @@
 	if !ok {
 		return d, err
 	}
-	return d, json.Unmarshal(converted, &d)
+	err = json.Unmarshal(converted, &d)
+	return d, err
 }
 
 // convertGoStrings replaces the Go string literals in otherwise valid JSON by JSON strings. It
