--- a/node/cancel_handover_test.go
+++ b/node/cancel_handover_test.go
@@ -75,6 +75,9 @@
 	})
 }
 
+// keptJobs is how many jobs of the pool run or wait, beside those that are cancelled.
+const keptJobs = 12
+
 // play cancels waiting jobs, ends the owner that stores this, and returns what is wrong with the
 // jobs after its successor has worked for a while.
 func (e batchEnd) play(t *testing.T) []string {
@@ -88,56 +91,68 @@
 		first := c.owner("shift")
 		n := c.otherNode(first)
 		q := queue(t, n, "shift-close")
-		const waiting = 12 // so many jobs run or wait, beside those that are cancelled
-		need := pointport.Shape{CPUMilli: 4000, MemoryMiB: 128}
-		var all sync.WaitGroup
-		for i := range waiting + e.cancelled {
-			spec := &workload.Spec{Payload: "duration=1s cpu=4000 memory=128", Steps: []workload.Step{{Count: 1, Need: need, Estimate: time.Second}}}
-			all.Go(func() {
-				time.Sleep(time.Duration(i) * time.Millisecond) // the jobs to cancel come last
-				submit(t, n, q, jobID(i), spec)
-			})
-		}
-		all.Wait()
+		c.submitInOrder(n, q, keptJobs+e.cancelled)
 		time.Sleep(500 * time.Millisecond)
 		c.kill(first)
 		ended := c.endOwnerAt(first, e)
+		var all sync.WaitGroup
 		for i := range e.cancelled {
-			all.Go(func() { c.cancel(n, q, jobID(waiting+i)) })
+			all.Go(func() { c.cancel(n, q, jobID(keptJobs+i)) })
 		}
 		all.Wait()
 		time.Sleep(5 * time.Second)
 		c.setStoreFault(noStoreFault)
-		c.mu.Lock()
-		c.onStoreCall = nil
-		c.mu.Unlock()
 		if name := ended(); name != "" {
 			c.kill(name)
 			n = c.otherNode(name)
 		}
 		time.Sleep(20 * time.Second)
-		for i := range waiting + e.cancelled {
-			want := workload.Completed
-			if i >= waiting {
-				want = workload.Cancelled
-			}
-			status, err := n.Intake().Status(context.Background(), q, jobID(i))
-			if err != nil || status != want {
-				wrong = append(wrong, fmt.Sprintf("job %d has status %q (error %v), want %q", i, status, err, want))
-			}
-		}
-		for _, v := range c.fleet.Violations() {
-			wrong = append(wrong, v.String())
-		}
-		keys, err := c.kv.Range(context.Background(), workload.OpenPrefix("shift"), "")
-		if err != nil || len(keys.Entries) > 0 {
-			wrong = append(wrong, fmt.Sprintf("%d keys of open jobs are left (error %v)", len(keys.Entries), err))
-		}
+		wrong = e.failures(c, n, q)
 		c.close()
 	})
 	return wrong
 }
 
+// submitInOrder submits jobs of one task that takes a whole instance, a millisecond after each other.
+func (c *cluster) submitInOrder(n *node.Node, q *workload.Queue, jobs int) {
+	spec := &workload.Spec{
+		Payload: "duration=1s cpu=4000 memory=128",
+		Steps:   []workload.Step{{Count: 1, Need: pointport.Shape{CPUMilli: 4000, MemoryMiB: 128}, Estimate: time.Second}},
+	}
+	var all sync.WaitGroup
+	for i := range jobs {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			submit(c.t, n, q, jobID(i), spec)
+		})
+	}
+	all.Wait()
+}
+
+// failures returns what is wrong with the jobs, the orders to instances, and the keys of open jobs,
+// none of which must be left.
+func (e batchEnd) failures(c *cluster, n *node.Node, q *workload.Queue) []string {
+	var wrong []string
+	for i := range keptJobs + e.cancelled {
+		want := workload.Completed
+		if i >= keptJobs {
+			want = workload.Cancelled
+		}
+		status, err := n.Intake().Status(context.Background(), q, jobID(i))
+		if err != nil || status != want {
+			wrong = append(wrong, fmt.Sprintf("job %d has status %q (error %v), want %q", i, status, err, want))
+		}
+	}
+	for _, v := range c.fleet.Violations() {
+		wrong = append(wrong, v.String())
+	}
+	keys, err := c.kv.Range(context.Background(), workload.OpenPrefix("shift"), "")
+	if err != nil || len(keys.Entries) > 0 {
+		wrong = append(wrong, fmt.Sprintf("%d keys of open jobs are left (error %v)", len(keys.Entries), err))
+	}
+	return wrong
+}
+
 // cancel cancels a job through a node, and notes the acknowledgement.
 func (c *cluster) cancel(n *node.Node, q *workload.Queue, id string) {
 	c.t.Helper()
@@ -198,7 +213,8 @@
 	}
 }
 
-// storesJobs reports whether a transaction whose first key is given is one of a pool's owner.
+// storesJobs reports whether a transaction whose first key is given is one of a pool's owner. Those
+// that accept a job count as well: they put the same key first as those that end one.
 func storesJobs(pool, key string) bool {
 	for _, prefix := range []string{workload.ProgressPrefix(pool), workload.RecordKey(""), member.HeadKey(pool)} {
 		if strings.HasPrefix(key, prefix) {
