Soak: each burst is cancelled, also after the last fault

Bursts and their cancellations no longer end with the faults, and a cancellation without an answer is tried again.

--- a/soak/batch_fault_test.go
+++ b/soak/batch_fault_test.go
@@ -34,9 +34,10 @@
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration(500+r.IntN(1500))*time.Millisecond)
 		queue := s.queues[r.IntN(len(s.queues))]
-		burst := s.submitBurst(ctx, r, queue)
+		burst := s.submitBurst(r, queue)
 		first := s.owner(queue.Pool)
 		if first == nil {
+			s.cancelTogether(r, burst)
 			continue
 		}
 		transaction, signal := 1+r.IntN(maxBatchTransaction), []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[r.IntN(2)]
@@ -45,7 +46,7 @@
 		first.noteDisturbance()
 		first.signal(syscall.SIGKILL, down)
 		ended := s.endOwnerAtTransaction(queue.Pool, first, transaction, signal, down)
-		s.cancelTogether(ctx, r, burst)
+		s.cancelTogether(r, burst)
 		select {
 		case <-ended:
 		case <-time.After(batchWatchTime):
@@ -54,9 +55,10 @@
 	}
 }
 
-// submitBurst submits more jobs at once than a pool has room for, at random entries, and returns those
-// that may be accepted, but for a few that are to run.
-func (s *soak) submitBurst(ctx context.Context, r *rand.Rand, queue *workload.Queue) []*submission {
+// submitBurst submits more jobs at once than a pool has room for, at random entries, and returns all
+// but the few that are to run. The others must be cancelled, also after the last fault: a burst is more
+// work than a fleet that has just been troubled can do within settleTime.
+func (s *soak) submitBurst(r *rand.Rand, queue *workload.Queue) []*submission {
 	const size, kept = 40, 4
 	var burst []*submission
 	var all sync.WaitGroup
@@ -68,7 +70,7 @@
 			c.clients[e] = s.client(e, t.customer, answerTimeout)
 		}
 		burst = append(burst, t)
-		all.Go(func() { c.submit(ctx, t) })
+		all.Go(func() { c.submit(context.Background(), t) })
 	}
 	all.Wait()
 	return burst[kept:]
@@ -97,15 +99,21 @@
 	return ended
 }
 
-// cancelTogether cancels accepted jobs at once, at random entries.
-func (s *soak) cancelTogether(ctx context.Context, r *rand.Rand, burst []*submission) {
+// cancelTogether cancels jobs at once, at random entries, until that is acknowledged or has failed
+// several times. Jobs that may have been accepted are cancelled as well.
+func (s *soak) cancelTogether(r *rand.Rand, burst []*submission) {
 	var all sync.WaitGroup
 	for _, t := range burst {
-		if t.outcome != accepted {
+		if t.outcome == refused {
 			continue
 		}
-		client := s.client(s.entries[r.IntN(len(s.entries))], t.customer, answerTimeout)
-		all.Go(func() { s.cancel(ctx, client, t) })
+		first := r.IntN(len(s.entries))
+		all.Go(func() {
+			for n := 0; n < submitAttempts && !t.cancelled; n++ {
+				e := s.entries[(first+n)%len(s.entries)]
+				s.cancel(context.Background(), s.client(e, t.customer, answerTimeout), t)
+			}
+		})
 	}
 	all.Wait()
 }
