Soak: an answer that tells of a closed connection is an answer

The customer had an answer. The text in it was that of a connection to a peer, which had been killed; the check looked for the words EOF and reset anywhere in the error.

It now goes by the kind of the error that the customer's connection gave: EOF, unexpected EOF, connection reset.

--- a/soak/customer_test.go
+++ b/soak/customer_test.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -184,7 +185,7 @@
 // other disturbance since before the request, closed the request's connection without an answer.
 func (c *customer) checkCutOff(e *entry, from time.Time, err error) {
 	var noAnswer *intake.AmbiguousError
-	if !errors.As(err, &noAnswer) || !strings.Contains(err.Error(), "EOF") && !strings.Contains(err.Error(), "reset") {
+	if !errors.As(err, &noAnswer) || !connectionClosed(err) {
 		return
 	}
 	e.mu.Lock()
@@ -194,6 +195,12 @@
 	}
 }
 
+// connectionClosed reports whether the customer's own connection was closed. The text of an answer may
+// tell the same of a connection between entry instances.
+func connectionClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // checkStatus queries a job's status once. If it is completed for the first time, all its tasks
 // must have ended as done.
 func (c *customer) checkStatus(ctx context.Context, t *submission) {
