--- /dev/null
+++ b/review/bed/cases.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// This file defines the cases.
+
+const (
+	// contactTimeout is for how long after an impairment one counts as near.
+	contactTimeout = 3000 * time.Millisecond
+	// settleTime is how long a pool is left alone before a case begins.
+	settleTime = 4 * time.Second
+)
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// findRun returns a run whose work unit belongs to a job, and its runner.
+func (w *world) findRun(j *job) (*run, *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.runners {
+		if !x.up {
+			continue
+		}
+		for _, r := range x.sorted() {
+			if r.unit.job == j && !r.since.IsZero() {
+				return r, x
+			}
+		}
+	}
+	return nil, nil
+}
+
+// gangCheckpoint: a runner crashes under a gang whose step checkpoints its progress.
+func gangCheckpoint(b *bed, trouble bool) (string, error) {
+	const rule = "GANG"
+	time.Sleep(settleTime)
+	j := newJob(newID(), "plates", &step{Count: 3, CPU: 40000, MemoryMB: 20000, Estimate: 6000, Saves: true, Gang: true, Apart: 1, duration: 8 * time.Second})
+	if err := b.submit(j); err != nil {
+		return rule, err
+	}
+	time.Sleep(4500 * time.Millisecond)
+	if trouble {
+		_, x := b.world.findRun(j)
+		if x == nil {
+			return rule, fmt.Errorf("the gang does not run")
+		}
+		b.world.mu.Lock()
+		b.world.impairedUntil = time.Now().Add(heartbeats + contactTimeout)
+		b.world.mu.Unlock()
+		b.world.crash(x)
+		time.Sleep(heartbeats)
+		if _, err := b.world.start(x.machine, x.service, x.zone, x.labels, x.cpu); err != nil {
+			return rule, err
+		}
+	}
+	const longest = 60 * time.Second
+	state := ""
+	for began := time.Now(); time.Since(began) < longest && state != "completed"; time.Sleep(5 * time.Second) {
+		state = b.state(j)
+	}
+	b.record.printf("the job, which needs 8 s of work, is %s", state)
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	for _, a := range b.world.alone {
+		if a.calm {
+			b.record.breach(rule, "%s run %d ended alone with no impairment near; it was started with the checkpoint %q", a.task, a.run, a.given)
+		}
+	}
+	return rule, nil
+}
+
+// lastingDone: a work unit that lasts ends by itself.
+func lastingDone(b *bed, trouble bool) (string, error) {
+	const rule = "LOST"
+	time.Sleep(settleTime)
+	ended := false
+	ends := func(r *run, worked time.Duration) string {
+		if trouble && !ended && r.unit.index == 0 && worked > 5*time.Second {
+			ended = true
+			return "done"
+		}
+		return ""
+	}
+	j := newJob(newID(), "listener", &step{Count: 3, CPU: 5000, MemoryMB: 20000, Estimate: 500, Lasts: true, Apart: 1, MayMiss: 1, ends: ends})
+	if err := b.submit(j); err != nil {
+		return rule, err
+	}
+	time.Sleep(25 * time.Second)
+	b.state(j)
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	for _, u := range j.units {
+		running := false
+		for _, x := range b.world.runners {
+			running = running || x.up && x.runs[u.name] != nil
+		}
+		if !running {
+			b.record.breach(rule, "%s has had no run for %v, and its job is not cancelled", u.name, time.Since(u.lastEnd).Round(time.Millisecond))
+		}
+	}
+	return rule, nil
+}
+
+// unknownCancel: a client cancels a job that nobody has submitted.
+func unknownCancel(b *bed, trouble bool) (string, error) {
+	const rule = "MIXED"
+	time.Sleep(settleTime)
+	j := newJob(newID(), "x")
+	if trouble {
+		b.call(b.entries[0], http.MethodDelete, j.id, nil)
+	}
+	time.Sleep(time.Second)
+	if s := b.state(j); s != "unknown" && s != "" {
+		b.record.breach(rule, "job %s, which nobody submitted, is shown as %s", j.id, s)
+	}
+	return rule, nil
+}
+
+// waitingCount: the only runner of a kind refuses all starts for a while, with 503.
+func waitingCount(b *bed, trouble bool) (string, error) {
+	const rule = "MIXED"
+	const jobs, kind, refusing = 6, "b", 6500 * time.Millisecond
+	// With one more runner of the other kind, the one of this kind is a tenth of the service's runners.
+	if _, err := b.world.start("m-00008", service, zones[1], []string{"a", "r1-2"}, 64000); err != nil {
+		return rule, err
+	}
+	x, err := b.world.start("m-00009", service, zones[0], []string{kind, "r1-2"}, 64000)
+	if err != nil {
+		return rule, err
+	}
+	time.Sleep(settleTime)
+	if trouble {
+		b.world.mu.Lock()
+		x.refusing = true
+		b.world.mu.Unlock()
+		b.record.printf("runner %s, the only one with the label %s, refuses starts for %v", x.id, kind, refusing)
+		time.AfterFunc(refusing, func() {
+			b.world.mu.Lock()
+			defer b.world.mu.Unlock()
+			x.refusing = false
+		})
+	}
+	var all []*job
+	for range jobs {
+		j := newJob(newID(), "check", &step{Count: 1, CPU: 4000, MemoryMB: 17000, Estimate: 800, Needs: kind, duration: 800 * time.Millisecond})
+		if err := b.submit(j); err != nil {
+			return rule, err
+		}
+		all = append(all, j)
+	}
+	// visible_ms + 2 s after the last of them was accepted.
+	time.Sleep(5100 * time.Millisecond)
+	for _, e := range b.entries {
+		waits := b.notBegun(all)
+		status, text := b.call(e, http.MethodGet, "", nil)
+		var body struct {
+			Waiting int `json:"waiting"`
+		}
+		if status != http.StatusOK || json.Unmarshal([]byte(text), &body) != nil {
+			continue
+		}
+		if 2*body.Waiting < waits {
+			b.record.breach(rule, "%s gives %d jobs as waiting, and %d have not begun", e.name, body.Waiting, waits)
+		}
+	}
+	return rule, nil
+}
+
+// notBegun returns how many of some jobs have had no start.
+func (b *bed) notBegun(all []*job) int { return len(b.notBegunSet(all)) }
+
+// notBegunSet returns the jobs among some that have had no start.
+func (b *bed) notBegunSet(all []*job) map[*job]bool {
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	out := make(map[*job]bool)
+	for _, j := range all {
+		starts := 0
+		for _, u := range j.units {
+			starts += u.starts
+		}
+		if starts == 0 {
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// adviceBurst: many jobs come at once to a queue that asks for advice.
+func adviceBurst(b *bed, trouble bool) (string, error) {
+	const rule = "LOST"
+	// The usual rate is that of quick-proof, and the burst is the largest dose of the site file.
+	const usual, burst, burstTime, wholeTime = 5.67, 2.6, 4 * time.Second, 10 * time.Second
+	time.Sleep(settleTime)
+	var all []*job
+	var sent sync.WaitGroup
+	for began := time.Now(); time.Since(began) < wholeTime; {
+		j := newJob(newID(), "proof", &step{Count: 2, CPU: 1000, MemoryMB: 1000, Estimate: 800, duration: 800 * time.Millisecond})
+		j.advised = true
+		all = append(all, j)
+		sent.Go(func() { _ = b.submit(j) })
+		rate := usual
+		if since := time.Since(began); trouble && since > time.Second && since < time.Second+burstTime {
+			rate = usual * burst
+		}
+		time.Sleep(time.Duration(float64(time.Second) / rate))
+	}
+	sent.Wait()
+	b.record.printf("end of the traffic: %d jobs, %d have not begun; %s", len(all), b.notBegun(all), b.advisor.summary())
+	const finish = 14 * time.Second
+	time.Sleep(finish)
+	before := b.notBegunSet(all)
+	b.record.printf("%v later: %d have not begun; %s", finish, len(before), b.advisor.summary())
+	const still = 3 * time.Second
+	time.Sleep(still)
+	used := b.usedShare()
+	for j := range b.notBegunSet(all) {
+		if before[j] && !j.acknowledged.IsZero() && used < 0.5 {
+			b.record.breach(rule, "job %s was accepted and has had nothing running for %v; %.2f of the capacity is in use", j.id, still, used)
+		}
+	}
+	const rest = 20 * time.Second
+	time.Sleep(rest)
+	b.record.printf("%v later: %d have not begun; %s", rest, b.notBegun(all), b.advisor.summary())
+	return rule, nil
+}
+
+// usedShare returns the share of the runners' processors that is in use.
+func (b *bed) usedShare() float64 {
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	used, whole := int64(0), int64(0)
+	for _, x := range b.world.runners {
+		if !x.up {
+			continue
+		}
+		whole += x.cpu
+		for _, r := range x.runs {
+			used += r.unit.step.CPU
+		}
+	}
+	return float64(used) / float64(whole)
+}
