--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -39,6 +39,9 @@
 	maxAttempt  = 3
 )
 
+// upkeepTime is upkeep_s of the deployment.
+const upkeepTime = 2 * time.Second
+
 // clientDeadline is how long a client waits for an answer.
 const clientDeadline = 3 * time.Second
 
@@ -81,6 +84,7 @@
 	advice  net.Listener
 	kv      net.Listener
 	cloud   net.Listener
+	listed  int // how often the list of machines was read
 }
 
 // entry is an entry instance.
@@ -127,14 +131,53 @@
 
 var zones = []string{"sahab-hall", "zarqa-hall", "marka-hall"}
 
-// machines answers the list of machines; no order is carried out, since there is one pool only.
+// machines answers the list of machines and orders of upkeep. There is one pool only, so that no
+// machine moves.
 func (b *bed) machines(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet {
+	switch r.URL.Path {
+	case "/v1/machines":
+		b.listMachines(w)
+	case "/v1/machine-upkeep":
+		b.upkeep(w, r)
+	default:
+		answer(w, http.StatusConflict, map[string]any{"reason": "busy"})
+	}
+}
+
+// upkeep carries out an order of upkeep: all that runs on the machine dies at once, and a new runner
+// comes after upkeepTime.
+func (b *bed) upkeep(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Machine string `json:"machine"`
+		Wave    int64  `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	x := b.world.newest(o.Machine)
+	if x == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.record.printf("upkeep of %s for wave %d, ordered by %s", o.Machine, o.Wave, r.Header.Get("X-Lease-Holder"))
+	if !b.world.beginUpkeep(x) {
 		answer(w, http.StatusConflict, map[string]any{"reason": "busy"})
 		return
 	}
+	time.AfterFunc(upkeepTime, func() {
+		if _, err := b.world.start(x.machine, x.service, x.zone, x.labels, x.cpu); err != nil {
+			b.record.printf("machine %s does not come back: %v", x.machine, err)
+		}
+	})
+	answer(w, http.StatusOK, map[string]any{})
+}
+
+// listMachines answers the list of machines, without a lag.
+func (b *bed) listMachines(w http.ResponseWriter) {
 	b.world.mu.Lock()
 	defer b.world.mu.Unlock()
+	b.listed++
 	newest := make(map[string]*runner)
 	var order []string
 	for _, x := range b.world.runners {
@@ -147,7 +190,10 @@
 	for _, m := range order {
 		x := newest[m]
 		state, id := "up", x.id
-		if !x.up {
+		switch {
+		case x.maintained:
+			state, id = "upkeep", ""
+		case !x.up:
 			state, id = "down", ""
 		}
 		rows = append(rows, map[string]any{
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -108,21 +109,6 @@
 	return rule, nil
 }
 
-// unknownCancel: a client cancels a job that nobody has submitted.
-func unknownCancel(b *bed, trouble bool) (string, error) {
-	const rule = "MIXED"
-	time.Sleep(settleTime)
-	j := newJob(newID(), "x")
-	if trouble {
-		b.call(b.entries[0], http.MethodDelete, j.id, nil)
-	}
-	time.Sleep(time.Second)
-	if s := b.state(j); s != "unknown" && s != "" {
-		b.record.breach(rule, "job %s, which nobody submitted, is shown as %s", j.id, s)
-	}
-	return rule, nil
-}
-
 // waitingCount: the only runner of a kind refuses all starts for a while, with 503.
 func waitingCount(b *bed, trouble bool) (string, error) {
 	const rule = "MIXED"
@@ -248,3 +234,70 @@
 	}
 	return float64(used) / float64(whole)
 }
+
+// waveOfNewMachine: a wave asks for the upkeep of a machine that has just been added.
+func waveOfNewMachine(b *bed, trouble bool) (string, error) {
+	const rule, machine, wave = "MIXED", "m-00008", 1
+	if !trouble {
+		if _, err := b.world.start(machine, service, zones[0], []string{"a", "r1-2"}, 64000); err != nil {
+			return rule, err
+		}
+	}
+	time.Sleep(2 * settleTime)
+	if trouble {
+		b.awaitList()
+		if _, err := b.world.start(machine, service, zones[0], []string{"a", "r1-2"}, 64000); err != nil {
+			return rule, err
+		}
+		b.record.printf("machine %s is added, and is listed from now on", machine)
+	}
+	time.Sleep(300 * time.Millisecond)
+	b.store.put("op/wave/1", map[string]any{"wave": wave, "machines": []string{machine}, "duration_s": 26, "upper_bound": 1})
+	b.record.printf("operator: wave %d, of machine %s", wave, machine)
+	const longest = 16 * time.Second
+	last, said := "", 0
+	for began := time.Now(); time.Since(began) < longest; time.Sleep(20 * time.Millisecond) {
+		text := b.store.value("status/wave/1")
+		if text == last {
+			continue
+		}
+		last = text
+		begun := b.world.upkeepBegun(machine)
+		b.record.printf("status/wave/1 is %s, the upkeep of %s has begun: %v", text, machine, begun)
+		if strings.Contains(text, "completed") {
+			said++
+			if !begun {
+				b.record.breach(rule, "the wave is said to be completed, and machine %s, which stays, has not begun its upkeep", machine)
+			}
+		}
+	}
+	if said == 0 {
+		return rule, fmt.Errorf("the wave was never completed")
+	}
+	return rule, nil
+}
+
+// upkeepBegun reports whether a machine has begun its upkeep.
+func (w *world) upkeepBegun(machine string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.runners {
+		if x.machine == machine && x.maintained {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitList waits until the list of machines has just been read.
+func (b *bed) awaitList() {
+	count := func() int {
+		b.world.mu.Lock()
+		defer b.world.mu.Unlock()
+		return b.listed
+	}
+	for first := count(); count() == first; {
+		time.Sleep(tick)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -28,11 +28,11 @@
 
 // cases are the cases by name. Each plays its day and returns the rule that it is about.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
-	"advice-burst":    adviceBurst,
-	"gang-checkpoint": gangCheckpoint,
-	"lasting-done":    lastingDone,
-	"unknown-cancel":  unknownCancel,
-	"waiting-count":   waitingCount,
+	"advice-burst":        adviceBurst,
+	"gang-checkpoint":     gangCheckpoint,
+	"lasting-done":        lastingDone,
+	"wave-of-new-machine": waveOfNewMachine,
+	"waiting-count":       waitingCount,
 }
 
 func main() {
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -61,15 +61,17 @@
 	server  *http.Server
 	born    time.Time
 
-	up       bool
-	fence    int64
-	until    time.Duration // on its clock
-	runs     map[string]*run
-	ruledOut map[string]int
-	ends     []end
-	lastEnd  int64
-	cpu      int64
-	changed  chan struct{}
+	up bool
+	// maintained reports whether the runner has ended for the upkeep of its machine.
+	maintained bool
+	fence      int64
+	until      time.Duration // on its clock
+	runs       map[string]*run
+	ruledOut   map[string]int
+	ends       []end
+	lastEnd    int64
+	cpu        int64
+	changed    chan struct{}
 
 	// refusing makes the runner answer 503 to starts, as an unhealthy one does.
 	refusing bool
@@ -172,6 +174,31 @@
 	time.AfterFunc(heartbeats, func() { w.store.remove("servers/" + x.id) })
 }
 
+// newest returns the last runner of a machine, nil if there is no such machine.
+func (w *world) newest(machine string) *runner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found *runner
+	for _, x := range w.runners {
+		if x.machine == machine {
+			found = x
+		}
+	}
+	return found
+}
+
+// beginUpkeep ends a runner for the upkeep of its machine. It returns false if the machine is not up.
+func (w *world) beginUpkeep(x *runner) bool {
+	w.mu.Lock()
+	up := x.up
+	x.maintained = x.maintained || up
+	w.mu.Unlock()
+	if up {
+		w.crash(x)
+	}
+	return up
+}
+
 func (x *runner) clock() time.Duration { return time.Since(x.born) + 480*time.Second }
 
 // order is the body of an order.
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -98,6 +98,16 @@
 	return s.revision
 }
 
+// value returns the value of a key, empty if it is missing.
+func (s *store) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.items[key]; i != nil {
+		return string(i.Value)
+	}
+	return ""
+}
+
 // remove deletes a key.
 func (s *store) remove(key string) {
 	s.mu.Lock()
