--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -96,13 +96,13 @@
 }
 
 // newBed starts the stand-ins: the store, the list of machines and runners of one service.
-func newBed(r *record, runners int, cpu int64) (*bed, error) {
+func newBed(r *record, site deployment, runners int, cpu int64) (*bed, error) {
 	dir, err := os.MkdirTemp("", "bed-")
 	if err != nil {
 		return nil, err
 	}
 	b := &bed{record: r, store: newStore(), dir: dir}
-	b.world = newWorld(r, b.store)
+	b.world = newWorld(r, b.store, site)
 	if b.kv, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -227,7 +227,8 @@
 	n := len(b.entries) + 1
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 10+n)
 	e := &entry{name: fmt.Sprintf("frontend-%s-%d", zones[(n-1)%len(zones)], n), ip: ip, settings: filepath.Join(b.dir, fmt.Sprintf("local-%d.toml", n))}
-	text := fmt.Sprintf(settingsText, e.name, ip, zones[(n-1)%len(zones)], b.advice.Addr(), ip, portClients, ip, portReady, ip, portControl, b.kv.Addr(), b.cloud.Addr())
+	text := fmt.Sprintf(settingsText, e.name, ip, zones[(n-1)%len(zones)], b.advice.Addr(), ip, portClients, ip, portReady, ip, portControl,
+		b.world.site.maxHold.Milliseconds(), b.world.site.stopTime.Milliseconds(), b.world.site.farFactor, b.world.site.saveInterval.Seconds(), b.kv.Addr(), b.cloud.Addr())
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -359,7 +360,7 @@
 }
 
 // settingsText is the settings file of an entry instance, as DEPLOY.md shows it, with the bounds of
-// jlpa-grid.
+// the small deployments.
 const settingsText = `node_name = "%s"
 role = "entry"
 machine_class = "frontend"
@@ -409,16 +410,16 @@
 rollback_slack_ms = 250
 max_stretch_ms = 5000
 recovery_s = 12
-max_hold_ms = 6000
-stop_ms = 200
+max_hold_ms = %d
+stop_ms = %d
 gang_ms = 3000
 cancel_ms = 3000
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
 status_s = 120
-far_x = 3
-save_s = 1
+far_x = %d
+save_s = %g
 restore_ms = 250
 notice_ms = 4500
 move_s = 1.5
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -301,3 +301,73 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 }
+
+// lostAnswer: a start of a work unit that lasts gets no answer, and its runner crashes for good some
+// seconds later.
+func lostAnswer(b *bed, trouble bool) (string, error) {
+	const rule = "LOST"
+	const atWork, longest = 6 * time.Second, 30 * time.Second
+	time.Sleep(settleTime)
+	if trouble {
+		b.world.mu.Lock()
+		for _, x := range b.world.runners {
+			x.unanswered = 1
+		}
+		b.world.mu.Unlock()
+	}
+	j := newJob(newID(), "ledger", &step{Count: 1, CPU: 5000, MemoryMB: 20000, Estimate: 700, Lasts: true, MayMiss: 1})
+	if err := b.submit(j); err != nil {
+		return rule, err
+	}
+	time.Sleep(time.Second)
+	b.world.mu.Lock()
+	for _, x := range b.world.runners {
+		x.unanswered = 0
+	}
+	b.world.mu.Unlock()
+	time.Sleep(atWork)
+	_, x := b.world.findRun(j)
+	if x == nil {
+		return rule, fmt.Errorf("the work unit does not run")
+	}
+	if !trouble {
+		time.Sleep(longest)
+		if _, still := b.world.findRun(j); still == nil {
+			b.record.breach(rule, "the work unit does not run any more")
+		}
+		return rule, nil
+	}
+	b.world.crash(x)
+	// From 6 s after the last run, in 3 s without a run that come after 4 calm ones. The entry of the
+	// runner goes after 4.5 s, which is taken for a part of the crash.
+	crashed, empty := time.Now(), time.Time{}
+	for time.Since(crashed) < longest {
+		time.Sleep(20 * time.Millisecond)
+		if r, _ := b.world.findRun(j); r != nil {
+			b.record.printf("the work unit runs again %v after the crash", time.Since(crashed).Round(time.Millisecond))
+			break
+		}
+		if empty.IsZero() && time.Since(crashed) >= heartbeats+4*time.Second {
+			empty = time.Now()
+		}
+		if !empty.IsZero() && time.Since(empty) >= 3*time.Second && b.record.broken(rule) == 0 {
+			b.record.breach(rule, "nothing of the work unit has run for %v, the last 3 s and the 4 s before them were calm, and seven of eight runners are idle", time.Since(crashed).Round(time.Millisecond))
+		}
+	}
+	return rule, nil
+}
+
+// unknownCancel: a client cancels a job that nobody has submitted.
+func unknownCancel(b *bed, trouble bool) (string, error) {
+	const rule = "MIXED"
+	time.Sleep(settleTime)
+	j := newJob(newID(), "x")
+	if trouble {
+		b.call(b.entries[0], http.MethodDelete, j.id, nil)
+	}
+	time.Sleep(time.Second)
+	if s := b.state(j); s != "unknown" && s != "" {
+		b.record.breach(rule, "job %s, which nobody submitted, is shown as %s", j.id, s)
+	}
+	return rule, nil
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -24,15 +24,18 @@
 )
 
 // wholeCase bounds the time of a case.
-const wholeCase = 110 * time.Second
+const wholeCase = 100 * time.Second
 
-// cases are the cases by name. Each plays its day and returns the rule that it is about.
+// cases are the cases by name. Each plays its day and returns the rule that it is about. The last two
+// are no cases of the review; its report tells of them.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
 	"advice-burst":        adviceBurst,
-	"gang-checkpoint":     gangCheckpoint,
 	"lasting-done":        lastingDone,
-	"wave-of-new-machine": waveOfNewMachine,
+	"lost-answer":         lostAnswer,
 	"waiting-count":       waitingCount,
+	"wave-of-new-machine": waveOfNewMachine,
+	"gang-checkpoint":     gangCheckpoint,
+	"unknown-cancel":      unknownCancel,
 }
 
 func main() {
@@ -73,7 +76,11 @@
 // play starts a bed, plays a case on it and ends all processes.
 func play(r *record, name string, trouble bool) (string, error) {
 	const runners, cpu, entries = 8, 64000, 3
-	b, err := newBed(r, runners, cpu)
+	site := jlpaGrid
+	if name == "lost-answer" {
+		site = tippijakoProd
+	}
+	b, err := newBed(r, site, runners, cpu)
 	if err != nil {
 		return "", err
 	}
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -12,14 +12,12 @@
 
 // This file defines the stand-in of the runners.
 
-// The bounds of the deployment, as its page states them for jlpa-grid.
+// The bounds of the deployment, as its page states them for jlpa-grid. Those in which
+// tippijako-prod differs are in a deployment.
 const (
-	maxHold      = 6000 * time.Millisecond
-	stopTime     = 200 * time.Millisecond
-	gangTime     = 3000 * time.Millisecond
-	saveInterval = time.Second
-	restoreTime  = 250 * time.Millisecond
-	serveStart   = 300 * time.Millisecond // how long a work unit that lasts takes until it is at work
+	gangTime    = 3000 * time.Millisecond
+	restoreTime = 250 * time.Millisecond
+	serveStart  = 300 * time.Millisecond // how long a work unit that lasts takes until it is at work
 	// heartbeats is after how long the entry of a runner that is silent goes.
 	heartbeats  = 4500 * time.Millisecond
 	tick        = 5 * time.Millisecond
@@ -27,6 +25,19 @@
 	fullPercent = 100
 )
 
+// deployment holds the bounds in which the small deployments differ.
+type deployment struct {
+	maxHold, stopTime, saveInterval time.Duration
+	farFactor                       int
+	// born reports whether runners tell when their life began.
+	born bool
+}
+
+var (
+	jlpaGrid      = deployment{6000 * time.Millisecond, 200 * time.Millisecond, time.Second, 3, false}
+	tippijakoProd = deployment{10000 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 2, true}
+)
+
 // run is one start of a work unit on a runner.
 type run struct {
 	task       string
@@ -75,6 +86,8 @@
 
 	// refusing makes the runner answer 503 to starts, as an unhealthy one does.
 	refusing bool
+	// unanswered is how many of the next starts get no answer and are carried out late.
+	unanswered int
 }
 
 // world holds all runners and the work that clients have submitted. Its lock guards all of it.
@@ -82,6 +95,7 @@
 	mu          sync.Mutex
 	record      *record
 	store       *store
+	site        deployment
 	runners     []*runner
 	advisor     *advisor
 	jobs        map[string]*job
@@ -107,8 +121,8 @@
 	done time.Duration
 }
 
-func newWorld(r *record, s *store) *world {
-	w := &world{record: r, store: s, jobs: make(map[string]*job), checkpoints: make(map[string]saved)}
+func newWorld(r *record, s *store, site deployment) *world {
+	w := &world{record: r, store: s, site: site, jobs: make(map[string]*job), checkpoints: make(map[string]saved)}
 	go func() {
 		for {
 			time.Sleep(tick)
@@ -152,10 +166,14 @@
 }
 
 func (x *runner) register(state string) {
-	x.world.store.put("servers/"+x.id, map[string]any{
+	entry := map[string]any{
 		"service": x.service, "machine": x.machine, "address": x.address, "zone": x.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
 		"capacity": map[string]any{"cpu": x.cpu, "memory_request_mb": 262144, "gpu": 0}, "labels": x.labels, "clock_ms": x.clock().Milliseconds(), "call_sequence": 1,
-	})
+	}
+	if x.world.site.born {
+		entry["born"] = x.born.UnixMilli()
+	}
+	x.world.store.put("servers/"+x.id, entry)
 }
 
 // crash ends a runner: it says nothing, all that runs there dies, and its entry goes after three pings
@@ -217,6 +235,7 @@
 // reply is the body of an answer.
 type reply struct {
 	Clock   int64   `json:"clock_ms"`
+	Born    int64   `json:"born,omitempty"` // in lists of runs
 	Reason  string  `json:"reason,omitempty"`
 	Running [][]any `json:"running,omitempty"`
 	Ended   [][]any `json:"ended,omitempty"`
@@ -251,6 +270,14 @@
 			x.world.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
+		if x.unanswered > 0 && r.URL.Path == "/v1/run-start" {
+			x.unanswered--
+			x.world.record.printf("start of %s run %d on %s gets no answer, and is carried out %v later", o.Task, o.Run, x.id, lateBy)
+			x.world.mu.Unlock()
+			time.AfterFunc(lateBy, func() { x.carryOut(o, handle) })
+			<-r.Context().Done()
+			return
+		}
 		x.advance(time.Now())
 		status, body := http.StatusConflict, x.reply("fence")
 		if o.Fence >= x.fence {
@@ -262,9 +289,24 @@
 	}
 }
 
+// lateBy is after which time an order without an answer is carried out.
+const lateBy = 3 * time.Second
+
+// carryOut carries out an order that got no answer.
+func (x *runner) carryOut(o order, handle func(*runner, order) (int, reply)) {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	if !x.up || o.Fence < x.fence {
+		return
+	}
+	x.advance(time.Now())
+	status, _ := handle(x, o)
+	x.world.record.printf("the late start of %s run %d on %s is carried out: %d", o.Task, o.Run, x.id, status)
+}
+
 // extend moves the end of the runner's lease.
 func (x *runner) extend(deadline int64) {
-	to := min(time.Duration(deadline)*time.Millisecond, x.clock()+maxHold)
+	to := min(time.Duration(deadline)*time.Millisecond, x.clock()+x.world.site.maxHold)
 	x.until = max(x.until, to)
 }
 
@@ -319,7 +361,7 @@
 func (x *runner) stopRun(o order) (int, reply) {
 	if r := x.runs[o.Task]; r != nil && r.number == o.Run {
 		if r.stopAt.IsZero() {
-			r.stopAt = time.Now().Add(stopTime / 2)
+			r.stopAt = time.Now().Add(x.world.site.stopTime / 2)
 			x.world.record.printf("stop of %s run %d on %s", o.Task, o.Run, x.id)
 		}
 		return http.StatusOK, x.reply("")
@@ -386,6 +428,9 @@
 // lists returns what runs on the runner and what has ended there.
 func (x *runner) lists() reply {
 	body := x.reply("")
+	if x.world.site.born {
+		body.Born = x.born.UnixMilli()
+	}
 	for _, r := range x.sorted() {
 		body.Running = append(body.Running, []any{r.task, r.number, r.saved, r.percent(), 0})
 	}
@@ -444,8 +489,8 @@
 func (x *runner) work(r *run, now time.Time) {
 	s := r.unit.step
 	worked := now.Sub(r.since)
-	if s.Saves && int(worked/saveInterval) > r.saves {
-		r.saves = int(worked / saveInterval)
+	if s.Saves && int(worked/x.world.site.saveInterval) > r.saves {
+		r.saves = int(worked / x.world.site.saveInterval)
 		x.save(r, now)
 	}
 	if how := r.unit.endsBy(r, worked); how != "" {
