--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -84,7 +84,8 @@
 	advice  net.Listener
 	kv      net.Listener
 	cloud   net.Listener
-	listed  int // how often the list of machines was read
+	lastRun map[*job]time.Time // when something of a job last ran
+	listed  int                // how often the list of machines was read
 }
 
 // entry is an entry instance.
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -371,3 +371,76 @@
 	}
 	return rule, nil
 }
+
+// wideJob: a job with many work units comes.
+func wideJob(b *bed, trouble bool) (string, error) {
+	const rule = "LOST"
+	const usual, wide = 24, 1000
+	const finish, still, longest = 14 * time.Second, 3 * time.Second, 40 * time.Second
+	time.Sleep(settleTime)
+	lasting := newJob(newID(), "watch", &step{Count: 3, CPU: 5000, MemoryMB: 20000, Estimate: 500, Lasts: true, Apart: 1, MayMiss: 1})
+	if err := b.submit(lasting); err != nil {
+		return rule, err
+	}
+	time.Sleep(2 * time.Second)
+	units := usual
+	if trouble {
+		units = wide
+	}
+	checks := newJob(newID(), "checks", &step{Count: units, CPU: 200, MemoryMB: 200, Estimate: 10000, duration: 10 * time.Second})
+	if err := b.submit(checks); err != nil {
+		return rule, err
+	}
+	accepted := time.Now()
+	for began := time.Now(); time.Since(began) < finish; time.Sleep(tick) {
+		b.watchGaps(lasting, checks)
+	}
+	b.record.printf("%v after the end of the traffic; %s", finish, b.lapseCount())
+	state := b.state(checks)
+	for began := time.Now(); time.Since(began) < longest && state != "completed"; time.Sleep(tick) {
+		b.watchGaps(lasting, checks)
+		// The job has been asked for; a gap counts only from now on.
+		gap := time.Since(later(b.lastRun[checks], began))
+		if gap >= still && b.usedShare() < 0.5 {
+			b.record.breach(rule, "nothing of the job with %d work units has run for %v, %.2f of the capacity is in use; it was accepted %v ago",
+				units, gap.Round(time.Millisecond), b.usedShare(), time.Since(accepted).Round(time.Second))
+			break
+		}
+	}
+	b.record.printf("%s", b.lapseCount())
+	b.state(checks)
+	b.state(lasting)
+	return rule, nil
+}
+
+// watchGaps notes for each of some jobs when something of it last ran, and records gaps.
+func (b *bed) watchGaps(jobs ...*job) {
+	if b.lastRun == nil {
+		b.lastRun = make(map[*job]time.Time)
+	}
+	for _, j := range jobs {
+		r, _ := b.world.findRun(j)
+		if r == nil {
+			continue
+		}
+		last, ok := b.lastRun[j]
+		if gap := time.Since(last); ok && gap > time.Second {
+			b.record.printf("something of job %s (%s) runs again after %v with nothing", j.id, j.text, gap.Round(time.Millisecond))
+		}
+		b.lastRun[j] = time.Now()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// lapseCount returns how many runs have lapsed, as text.
+func (b *bed) lapseCount() string {
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	return fmt.Sprintf("%d runs have lapsed so far", b.world.lapses)
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -26,10 +26,11 @@
 // wholeCase bounds the time of a case.
 const wholeCase = 100 * time.Second
 
-// cases are the cases by name. Each plays its day and returns the rule that it is about. The last two
+// cases are the cases by name. Each plays its day and returns the rule that it is about. The last three
 // are no cases of the review; its report tells of them.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
 	"advice-burst":        adviceBurst,
+	"wide-job":            wideJob,
 	"lasting-done":        lastingDone,
 	"lost-answer":         lostAnswer,
 	"waiting-count":       waitingCount,
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -104,6 +104,7 @@
 	// impairedUntil is until when an impairment counts as near.
 	impairedUntil time.Time
 	alone         []aloneEnd
+	lapses        int // of runs
 }
 
 // aloneEnd is the end of a run that waited in vain for its gang.
@@ -509,6 +510,9 @@
 // endRun ends a run and lists its end.
 func (x *runner) endRun(r *run, how string) {
 	now := time.Now()
+	if how == "lapsed" {
+		x.world.lapses++
+	}
 	if r.unit.step.Saves && how == "stopped" && !r.since.IsZero() {
 		x.save(r, now)
 	}
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -15,6 +15,8 @@
 const (
 	// rangeLimit is how many items a page of a range has at most.
 	rangeLimit = 500
+	// valueBytes is how large a value may be.
+	valueBytes = 1 << 20
 	// maxTxnEntries is how many entries a transaction has at most.
 	maxTxnEntries = 32
 	// sweepInterval is how often expired leases are removed.
@@ -273,6 +275,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, p := range b.Put {
+		if len(p.Value) > valueBytes {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds := true
