--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -73,8 +73,16 @@
 	return r.breaches[rule]
 }
 
+// tenant is the one tenant of a deployment that has tenants.
+type tenant struct {
+	name, key string
+	weight    int64 // jobs a second
+	cpu       int64 // upper_bound
+}
+
 // bed is a small deployment on loopback addresses.
 type bed struct {
+	tenant  *tenant // nil if no call needs a key
 	record  *record
 	store   *store
 	world   *world
@@ -215,12 +223,19 @@
 	}
 	advised := route("r-anfqasn", advisedPath)
 	advised["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": validTime.Milliseconds()}
-	b.store.put("op/config", map[string]any{
+	whole := map[string]any{
 		"version": version, "routes": []any{route("r-8pjbvk9", queuePath), advised},
 		"services": []any{map[string]any{"name": service, "rejects_overload": true}},
 		"limits":   map[string]any{},
-	})
-	b.record.printf("operator: configuration %d", version)
+	}
+	more := ""
+	if t := b.tenant; t != nil {
+		bound := map[string]any{"cpu": t.cpu, "memory_request_mb": 0, "gpu": 0}
+		whole["tenants"] = []any{map[string]any{"name": t.name, "api_keys": []string{t.key}, "weight": t.weight, "upper_bound": bound}}
+		more = fmt.Sprintf(", upper_bound of tenant %s: %d thousandths of a core", t.name, t.cpu)
+	}
+	b.store.put("op/config", whole)
+	b.record.printf("operator: configuration %d%s", version, more)
 }
 
 // addEntry lays the settings of an entry instance and starts it.
@@ -228,8 +243,12 @@
 	n := len(b.entries) + 1
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 10+n)
 	e := &entry{name: fmt.Sprintf("frontend-%s-%d", zones[(n-1)%len(zones)], n), ip: ip, settings: filepath.Join(b.dir, fmt.Sprintf("local-%d.toml", n))}
-	text := fmt.Sprintf(settingsText, e.name, ip, zones[(n-1)%len(zones)], b.advice.Addr(), ip, portClients, ip, portReady, ip, portControl,
-		b.world.site.maxHold.Milliseconds(), b.world.site.stopTime.Milliseconds(), b.world.site.farFactor, b.world.site.saveInterval.Seconds(), b.kv.Addr(), b.cloud.Addr())
+	contracts, bounds := "", ""
+	if b.tenant != nil {
+		contracts, bounds = tenantContracts, tenantBounds
+	}
+	text := fmt.Sprintf(settingsText, e.name, ip, zones[(n-1)%len(zones)], contracts, b.advice.Addr(), ip, portClients, ip, portReady, ip, portControl,
+		b.world.site.maxHold.Milliseconds(), b.world.site.stopTime.Milliseconds(), b.world.site.farFactor, b.world.site.saveInterval.Seconds(), bounds, b.kv.Addr(), b.cloud.Addr())
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -313,6 +332,9 @@
 	}
 	req.Host = queueHost
 	req.Header.Set("Content-Type", "application/json")
+	if b.tenant != nil {
+		req.Header.Set("Authorization", "Token "+b.tenant.key)
+	}
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
 	c := http.Client{Timeout: clientDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Do(req)
@@ -360,6 +382,17 @@
 	return ""
 }
 
+// tenantContracts and tenantBounds are what the settings of a deployment with tenants have besides.
+const (
+	tenantContracts = `"tenants","quota",`
+	tenantBounds    = `strict_revocation = false
+revocation_ms = 5000
+quota_window_s = 5
+quota_overshoot = 0.1
+quota_slack = 20
+`
+)
+
 // settingsText is the settings file of an entry instance, as DEPLOY.md shows it, with the bounds of
 // the small deployments.
 const settingsText = `node_name = "%s"
@@ -376,7 +409,7 @@
 discovery = "platform"
 entry = "virtual_ip"
 heartbeat_interval_ms = 1500
-contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
+contracts = ["base","drain","config","cost","recover","sched",%s"platform","advice","upkeep","sharing"]
 orders = "call"
 advice = "%s"
 [zones]
@@ -430,7 +463,7 @@
 thaw_slack_ms = 300
 pace_ms = 100
 harm_ms = 4000
-[platform]
+%s[platform]
 address = "%s"
 form = "kv"
 writes_per_s = 400
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -30,6 +30,7 @@
 // are no cases of the review; its report tells of them.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
 	"advice-burst":        adviceBurst,
+	"cap-lowered":         capLowered,
 	"wide-job":            wideJob,
 	"lasting-done":        lastingDone,
 	"lost-answer":         lostAnswer,
@@ -76,16 +77,22 @@
 
 // play starts a bed, plays a case on it and ends all processes.
 func play(r *record, name string, trouble bool) (string, error) {
-	const runners, cpu, entries = 8, 64000, 3
-	site := jlpaGrid
-	if name == "lost-answer" {
+	const runners, entries = 8, 3
+	site, cpu := jlpaGrid, int64(64000)
+	switch name {
+	case "lost-answer":
 		site = tippijakoProd
+	case "cap-lowered":
+		site, cpu = tippijakoNow, 16000
 	}
 	b, err := newBed(r, site, runners, cpu)
 	if err != nil {
 		return "", err
 	}
 	defer b.close()
+	if name == "cap-lowered" {
+		b.tenant = &tenant{name: "t-4", key: "a2f0c7d45e11", weight: 8, cpu: usualBound}
+	}
 	b.configure(1)
 	for range entries {
 		if err := b.addEntry(); err != nil {
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -12,8 +12,8 @@
 
 // This file defines the stand-in of the runners.
 
-// The bounds of the deployment, as its page states them for jlpa-grid. Those in which
-// tippijako-prod differs are in a deployment.
+// The bounds of the deployment, as its page states them for jlpa-grid. Those in which the
+// others differ are in a deployment.
 const (
 	gangTime    = 3000 * time.Millisecond
 	restoreTime = 250 * time.Millisecond
@@ -36,6 +36,8 @@
 var (
 	jlpaGrid      = deployment{6000 * time.Millisecond, 200 * time.Millisecond, time.Second, 3, false}
 	tippijakoProd = deployment{10000 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 2, true}
+	// tippijakoNow is tippijako-prod-now-grown, the deployment with tenants.
+	tippijakoNow = deployment{6000 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 2, false}
 )
 
 // run is one start of a work unit on a runner.
