--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -82,7 +82,8 @@
 
 // bed is a small deployment on loopback addresses.
 type bed struct {
-	tenant  *tenant // nil if no call needs a key
+	tenant  *tenant  // nil if no call needs a key
+	others  []string // services beside the one that has runners
 	record  *record
 	store   *store
 	world   *world
@@ -223,9 +224,13 @@
 	}
 	advised := route("r-anfqasn", advisedPath)
 	advised["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": validTime.Milliseconds()}
+	var services []any
+	for _, name := range append([]string{service}, b.others...) {
+		services = append(services, map[string]any{"name": name, "rejects_overload": true})
+	}
 	whole := map[string]any{
 		"version": version, "routes": []any{route("r-8pjbvk9", queuePath), advised},
-		"services": []any{map[string]any{"name": service, "rejects_overload": true}},
+		"services": services,
 		"limits":   map[string]any{},
 	}
 	more := ""
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -26,7 +26,7 @@
 // wholeCase bounds the time of a case.
 const wholeCase = 100 * time.Second
 
-// cases are the cases by name. Each plays its day and returns the rule that it is about. The last three
+// cases are the cases by name. Each plays its day and returns the rule that it is about. The last four
 // are no cases of the review; its report tells of them.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
 	"advice-burst":        adviceBurst,
@@ -37,6 +37,7 @@
 	"waiting-count":       waitingCount,
 	"wave-of-new-machine": waveOfNewMachine,
 	"gang-checkpoint":     gangCheckpoint,
+	"gang-near-cap":       gangNearCap,
 	"unknown-cancel":      unknownCancel,
 }
 
@@ -82,7 +83,7 @@
 	switch name {
 	case "lost-answer":
 		site = tippijakoProd
-	case "cap-lowered":
+	case "cap-lowered", "gang-near-cap":
 		site, cpu = tippijakoNow, 16000
 	}
 	b, err := newBed(r, site, runners, cpu)
@@ -90,7 +91,10 @@
 		return "", err
 	}
 	defer b.close()
-	if name == "cap-lowered" {
+	if name == "gang-near-cap" {
+		b.others = []string{"pelo12b", "ruka7c", "sivo31d"}
+	}
+	if site == tippijakoNow {
 		b.tenant = &tenant{name: "t-4", key: "a2f0c7d45e11", weight: 8, cpu: usualBound}
 	}
 	b.configure(1)
--- a/review/bed/quota.go
+++ b/review/bed/quota.go
@@ -58,6 +58,28 @@
 	return rule, nil
 }
 
+// gangNearCap: a gang comes that needs nearly all of its tenant's upper_bound, where there are four
+// services. With trouble left out, it needs three quarters.
+func gangNearCap(b *bed, trouble bool) (string, error) {
+	const rule = "LOST"
+	const members, nearly, less, longest = 3, 12000, 10000, 25 * time.Second
+	time.Sleep(settleTime)
+	cpu := int64(less)
+	if trouble {
+		cpu = nearly
+	}
+	j := newJob(newID(), "plates", &step{Count: members, CPU: cpu, MemoryMB: 500, Estimate: 2000, Gang: true, duration: 2 * time.Second})
+	if err := b.submit(j); err != nil {
+		return rule, err
+	}
+	time.Sleep(longest)
+	b.record.printf("%v later: %s, shown as %s", longest, b.progress([]*job{j}), b.state(j))
+	if b.open(j) > 0 {
+		b.record.breach(rule, "the gang needs %d of %d thousandths of a core and has not run, though all runners are idle", members*cpu, int64(usualBound))
+	}
+	return rule, nil
+}
+
 // setBound writes a configuration with another upper_bound of the tenant.
 func (b *bed) setBound(cpu int64) {
 	t := *b.tenant
