Log what a pool uses of a cap with each change of its row

Two causes look alike in 'cap moved' (545): more runs than the cap allows, or an owner counts runs that have ended. The event now has what the pool uses and wants, as the owner counts it.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -35,6 +35,8 @@
 	Key      string
 	Revision pointport.Revision
 	Value    []byte
+	// Usage is what the pool used when the change was made.
+	Usage Usage
 }
 
 // A Ledger tracks how much of customers' caps the owner of a pool may use, and which changes
@@ -238,7 +240,7 @@
 		}
 		out = append(out, Change{
 			Customer: name, Key: Key(name), Revision: h.revision,
-			Value: h.account.with(l.pool, row, h.loweredVersion).encode(),
+			Value: h.account.with(l.pool, row, h.loweredVersion).encode(), Usage: h.usage,
 		})
 	}
 	return out
--- a/shard/caps.go
+++ b/shard/caps.go
@@ -118,7 +118,7 @@
 	for _, c := range changes {
 		o.caps.ledger.HandleOutcome(c, at, outcomeOf(err))
 		event.CapMoved.Log(o.logger, slog.String("customer", c.Customer), slog.String("account", string(c.Value)),
-			slog.Int64("from", int64(c.Revision)), slog.Bool("made", err == nil), slog.Duration("took", took), slog.Any("error", err))
+			slog.Any("used", c.Usage.Used), slog.Any("wanted", c.Usage.Wanted), slog.Int64("from", int64(c.Revision)), slog.Bool("made", err == nil), slog.Duration("took", took), slog.Any("error", err))
 	}
 }
 
