Pools lower rows at once that exceed a customer's cap

Cause: while the rows of an account exceed its floating part, no owner starts anything of the customer, so nothing changes but by a lower row. An owner lowered its row only for an excess of a sixteenth of the floating part, and a cap lowered by less left each row with less. Tasks that waited kept the target of the row up, so the rule for rows without use did not apply either.

Now any excess counts while the rows do not fit, and it is returned at once.

--- a/quota/doc.go
+++ b/quota/doc.go
@@ -14,8 +14,10 @@
 //
 // Invariants:
 //
-//   - The rows of an account fit into the floating part of the cap, unless the cap was
-//     lowered. In that case no row grows until they fit again.
+//   - The rows of an account fit into the floating part of the cap, unless the floating part was
+//     lowered or a pool uses more than it may. While they do not fit, each owner lowers its row at
+//     once to what the other rows leave, but not below what its pool uses, so that they fit again
+//     as soon as enough tasks have ended.
 //   - A pool's row holds at least what the pool uses beyond its even part, from before it
 //     is used. The row belongs to the pool and not to its owner, so it outlasts the owner.
 //   - Only the pool's owner lowers its row, after the tasks that used it have ended.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -13,8 +13,8 @@
 	// holdPercent of it. The margins spare the next tasks the wait for a change of the
 	// account, and avoid a change for every task.
 	growPercent, holdPercent = 110, 130
-	// minShrinkDivisor sets the least excess for which a row is lowered: the floating part
-	// divided by it.
+	// minShrinkDivisor sets the least excess for which a row is lowered while the rows fit: the floating
+	// part divided by it.
 	minShrinkDivisor = 16
 	// excessRetention is how long a pool keeps what it does not need. Demand fluctuates
 	// within some seconds, and each change of the account costs a call.
@@ -257,7 +257,7 @@
 		return cappedParts(limits, maxShape(needed, minShape(nonNegative(percentOf(wanted, percent).Minus(limits.PerPool)), available)))
 	}
 	target := targetFor(holdPercent)
-	h.updateExcess(now, limits, target, confirmed)
+	h.updateExcess(now, target, confirmed, l.minShrink(h, limits))
 	grows := !confirmed.Fits(targetFor(growPercent))
 	shrinks := !h.excessSince.IsZero() && (now.Sub(h.excessSince) >= excessRetention || !l.fits(h, limits))
 	reports := h.loweredVersion > h.account.Rows[l.pool].Version
@@ -270,12 +270,23 @@
 	return Row{Version: l.policy.version, Held: target}, true
 }
 
-// updateExcess sets or clears excessSince. A pool has an excess if it holds more than target
-// by enough to be worth a call, or anything while target is zero.
-func (h *holding) updateExcess(now time.Time, limits Limits, target, held pointport.Shape) {
-	step := combine(limits.Floating, limits.Floating, func(f, _ int64) int64 { return f / minShrinkDivisor })
+// minShrink returns the least excess for which the pool lowers its row. It is zero in each component
+// in which the rows exceed the floating part: no pool may use anything until they fit again.
+func (l *Ledger) minShrink(h *holding, limits Limits) pointport.Shape {
+	free := limits.Floating.Minus(h.account.held(l.policy.pools, ""))
+	return combine(limits.Floating, free, func(floating, free int64) int64 {
+		if free < 0 {
+			return 0
+		}
+		return floating / minShrinkDivisor
+	})
+}
+
+// updateExcess sets or clears excessSince. A pool has an excess if it holds more than target by
+// more than least in any component, or anything while target is zero.
+func (h *holding) updateExcess(now time.Time, target, held, least pointport.Shape) {
 	switch {
-	case target.Plus(step).Fits(held) && (target != pointport.Shape{} || held == pointport.Shape{}):
+	case target.Plus(least).Fits(held) && (target != pointport.Shape{} || held == pointport.Shape{}):
 		h.excessSince = time.Time{}
 	case h.excessSince.IsZero():
 		h.excessSince = now
