An owner repeats a lower row whose call was lost

An account kept a row that nobody used, and other pools could not have it, if the call that lowers the row was lost: the owner compared its target with the lower row, which it must count as stored, so it saw nothing left to lower. It compares the row that is stored now.

TestLostChangeDoesNotKeepCapFromOtherPools fails before the change.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -257,10 +257,11 @@
 		return cappedParts(limits, maxShape(needed, minShape(nonNegative(percentOf(wanted, percent).Minus(limits.PerPool)), available)))
 	}
 	target := targetFor(holdPercent)
-	h.updateExcess(now, target, confirmed, l.minShrink(h, limits))
+	stored := h.account.Rows[l.pool]
+	h.updateExcess(now, target, stored.Held, l.minShrink(h, limits))
 	grows := !confirmed.Fits(targetFor(growPercent))
 	shrinks := !h.excessSince.IsZero() && (now.Sub(h.excessSince) >= excessRetention || !l.fits(h, limits))
-	reports := h.loweredVersion > h.account.Rows[l.pool].Version
+	reports := h.loweredVersion > stored.Version
 	switch {
 	case !grows && !shrinks && !reports:
 		return Row{}, false
@@ -282,11 +283,12 @@
 	})
 }
 
-// updateExcess sets or clears excessSince. A pool has an excess if it holds more than target by
-// more than least in any component, or anything while target is zero.
-func (h *holding) updateExcess(now time.Time, target, held, least pointport.Shape) {
+// updateExcess sets or clears excessSince. A pool has an excess if its stored row exceeds target by
+// more than least in any component, or at all while target is zero. The stored row counts even if a
+// lower one is pending, which may never be stored.
+func (h *holding) updateExcess(now time.Time, target, stored, least pointport.Shape) {
 	switch {
-	case target.Plus(least).Fits(held) && (target != pointport.Shape{} || held == pointport.Shape{}):
+	case target.Plus(least).Fits(stored) && (target != pointport.Shape{} || stored == pointport.Shape{}):
 		h.excessSince = time.Time{}
 	case h.excessSince.IsZero():
 		h.excessSince = now
--- a/quota/standstill_test.go
+++ b/quota/standstill_test.go
@@ -1,6 +1,31 @@
 package quota_test
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/pointport/pointport/quota"
+)
+
+// Guards against a row that stays high for good because the call that lowers it was lost.
+func TestLostChangeDoesNotKeepCapFromOtherPools(t *testing.T) {
+	s := newSimulation(40_000, poolNames)
+	former, next := s.owners[0], s.owners[1]
+	former.want(40_000)
+	s.settle()
+	former.want(0)
+	for lost := false; !lost; {
+		s.now = s.now.Add(roundTime)
+		for _, c := range former.ledger.Changes(s.now, 1) {
+			former.ledger.HandleOutcome(c, 0, quota.Ambiguous)
+			lost = true
+		}
+	}
+	next.want(30_000)
+	s.settle()
+	if !s.startTask(t, next, 30_000) {
+		t.Errorf("a task that needs 30 cores cannot start while none of 40 are in use; account %s", s.value)
+	}
+}
 
 // Guards against a customer of which nothing starts any more after its cap was lowered by a hair, or a service
 // was added, while it was at its cap.
