Small excesses of many pools do not use up a cap

An owner keeps an excess below a sixteenth of the floating part, since each change of the account costs a call. With more than sixteen pools, such excesses can be all that floats: 14 of 20 pools that use 22 % of a cap held all of it, and a task in another pool that needs more than its even part waited for good. Now an owner keeps a small excess only while as much is free for others.

TestSmallExcessesDoNotKeepCapFromOtherPools fails before the change.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -13,8 +13,8 @@
 	// holdPercent of it. The margins spare the next tasks the wait for a change of the
 	// account, and avoid a change for every task.
 	growPercent, holdPercent = 110, 130
-	// minShrinkDivisor sets the least excess for which a row is lowered while the rows fit: the floating
-	// part divided by it.
+	// minShrinkDivisor sets the least excess for which a row is lowered while enough of the floating
+	// part is free for other pools: the floating part divided by it.
 	minShrinkDivisor = 16
 	// excessRetention is how long a pool keeps what it does not need. Demand fluctuates
 	// within some seconds, and each change of the account costs a call.
@@ -272,14 +272,16 @@
 }
 
 // minShrink returns the least excess for which the pool lowers its row. It is zero in each component
-// in which the rows exceed the floating part: no pool may use anything until they fit again.
+// of which less is free for other pools: small excesses of many pools would add up to all of
+// the floating part, and no pool may use anything until rows that exceed it have been lowered.
 func (l *Ledger) minShrink(h *holding, limits Limits) pointport.Shape {
 	free := limits.Floating.Minus(h.account.held(l.policy.pools, ""))
 	return combine(limits.Floating, free, func(floating, free int64) int64 {
-		if free < 0 {
+		least := floating / minShrinkDivisor
+		if free < least {
 			return 0
 		}
-		return floating / minShrinkDivisor
+		return least
 	})
 }
 
--- a/quota/standstill_test.go
+++ b/quota/standstill_test.go
@@ -6,6 +6,33 @@
 	"github.com/pointport/pointport/quota"
 )
 
+// Guards against small parts of a cap, kept unused by many pools, that add up to all that another pool needs.
+func TestSmallExcessesDoNotKeepCapFromOtherPools(t *testing.T) {
+	const pools, busyPools = 20, 14
+	const limit, before, after = 320_000, 16_150, 5_000
+	var names []string
+	for n := range pools {
+		names = append(names, poolNamed(n))
+	}
+	s := newSimulation(limit, names)
+	for _, o := range s.owners[:busyPools] {
+		o.runs = []int64{before}
+		o.want(0)
+	}
+	s.settle()
+	for _, o := range s.owners[:busyPools] {
+		o.runs = []int64{after}
+		o.want(0)
+	}
+	const need = 8_000
+	waiting := s.owners[pools-1]
+	waiting.want(need)
+	s.settle()
+	if !s.startTask(t, waiting, need) {
+		t.Errorf("a task that needs %d cannot start while %d of %d run; account %s", need, s.running(), limit, s.value)
+	}
+}
+
 // Guards against a row that stays high for good because the call that lowers it was lost.
 func TestLostChangeDoesNotKeepCapFromOtherPools(t *testing.T) {
 	s := newSimulation(40_000, poolNames)
