First starts of serving tasks stay within the cap beside displaced ones

Cause: a plan keeps what displaced tasks need of the cap and gives it free as each is placed. Whether a task is displaced was asked after it had been placed, when every serving task has a run. So each first start of a serving task gave free what nobody had kept, and the next task could use it, while at least one serving task of the customer was displaced.

TestFirstStartsOfServingTasksStayWithinCap fails before the change: 3300 thousandths of a core are placed and 2000 are allowed, with gangs and without.

--- a/schedule/displaced_cap_test.go
+++ b/schedule/displaced_cap_test.go
@@ -101,3 +101,27 @@
 		t.Errorf("starts %s once the gang was stopped, want the gang", got)
 	}
 }
+
+// Guards against a cap that is exceeded by serving tasks that start for the first time while a displaced one
+// starts again.
+func TestFirstStartsOfServingTasksStayWithinCap(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := newTestScheduler()
+		registerIdle(s, start, incarnation(0))
+		s.SetAllowed(map[string]pointport.Shape{"c": {CPUMilli: 2000, MemoryMiB: 4000}})
+		s.Add(start, ownedByC("displaced", servingStep(1, 300, nil)))
+		acceptAndReport(s, start, orders(s, start))
+		registerNewIdle(s, start, incarnation(0), incarnation(1), incarnation(2))
+		s.EndIncarnation(start, "i-0")
+		for n := range 3 {
+			s.Add(start, ownedByC(fmt.Sprintf("new-%d", n), servingStep(2, 300, func(s *workload.Step) { s.Gang = gang })))
+		}
+		s.Add(start, ownedByC("other", step(4, 300, nil)))
+		orders(s, start)
+		s.VisitUsage(func(u schedule.CustomerUsage) {
+			if u.Used.CPUMilli > 2000 {
+				t.Errorf("gangs %v: %d thousandths of a core are placed, and 2000 are allowed", gang, u.Used.CPUMilli)
+			}
+		})
+	}
+}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -131,13 +131,14 @@
 			p.scheduler.noteHeldBack(p.now, group)
 			continue
 		}
+		displaced := group[0].displaced() // before the placement, which counts as a run
 		ok := false
 		if group[0].step.Gang {
 			ok = p.placeGang(group)
 		} else {
 			ok = p.placeTask(group[0])
 		}
-		if ok && group[0].displaced() {
+		if ok && displaced {
 			p.releaseCap(group)
 		}
 		if ok {
