Refuse jobs that need more of a cap than one pool may use

A job whose gang, or single task, needed nearly all of its customer's cap was accepted and never started, though nothing else ran. Such a job could be met only if other pools gave up their even parts, which they use without asking, so it is refused at once, and the error says how much may be used.

--- a/customer/directory.go
+++ b/customer/directory.go
@@ -21,12 +21,6 @@
 	Cap pointport.Shape `json:"cap,omitzero"`
 }
 
-// CapAllows reports whether need alone fits into the cap.
-func (c *Customer) CapAllows(need pointport.Shape) bool {
-	within := func(limit, need int64) bool { return limit == 0 || need <= limit }
-	return within(c.Cap.CPUMilli, need.CPUMilli) && within(c.Cap.MemoryMiB, need.MemoryMiB) && within(c.Cap.Accelerators, need.Accelerators)
-}
-
 // A Directory holds the customers of one version of the configuration. A nil Directory
 // holds none.
 type Directory struct {
--- a/intake/service.go
+++ b/intake/service.go
@@ -26,6 +26,7 @@
 	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/customer"
 	"github.com/pointport/pointport/event"
+	"github.com/pointport/pointport/quota"
 	"github.com/pointport/pointport/workload"
 )
 
@@ -80,7 +81,9 @@
 	// customers returns the customers in force and the version of the configuration that
 	// lists them.
 	customers func() (*customer.Directory, int64)
-	caller    customer.Caller
+	// caps returns the caps of customers in force.
+	caps   func() *quota.Policy
+	caller customer.Caller
 	// ages derives when jobs were first submitted; nil if jobs count from their acceptance.
 	ages   *SubmissionAges
 	logger *slog.Logger
@@ -101,6 +104,11 @@
 	return func(svc *Service) { svc.customers = customers }
 }
 
+// WithCaps sets the function that returns the caps of customers in force.
+func WithCaps(caps func() *quota.Policy) Option {
+	return func(svc *Service) { svc.caps = caps }
+}
+
 // WithSubmissionAges sets what derives when jobs were first submitted. Without it, jobs count from
 // their acceptance.
 func WithSubmissionAges(ages *SubmissionAges) Option {
@@ -112,6 +120,7 @@
 func NewService(kv pointport.KV, owners OwnerClient, clock pointport.Clock, reachable func() bool, logger *slog.Logger, options ...Option) *Service {
 	svc := &Service{kv: kv, owners: owners, clock: clock, reachable: reachable, lowMemory: func() bool { return false }, logger: logger}
 	svc.customers = func() (*customer.Directory, int64) { return nil, 0 }
+	svc.caps = func() *quota.Policy { return nil }
 	for _, o := range options {
 		o(svc)
 	}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -104,20 +104,19 @@
 }
 
 // checkSpec returns a *workload.SpecError if the job could never run: because it is
-// invalid, or because a step's tasks that must run at the same time exceed its
-// customer's cap.
+// invalid, or because a step's tasks that must run at the same time need more of its
+// customer's cap than one pool may use.
 func (svc *Service) checkSpec(spec *workload.Spec) error {
 	if err := spec.Check(); err != nil {
 		return err
 	}
-	customers, _ := svc.customers()
-	c, ok := customers.Find(svc.caller.Name)
-	if !ok {
+	limits, capped := svc.caps().Limits(svc.caller.Name)
+	if !capped {
 		return nil
 	}
 	for n := range spec.Steps {
-		if need := spec.Steps[n].ConcurrentNeed(); !c.CapAllows(need) {
-			return &workload.SpecError{Field: fmt.Sprintf("steps[%d].need", n), Value: need, Reason: fmt.Sprintf("must run at once and is beyond the cap of %s, %v", c.Name, c.Cap)}
+		if need := spec.Steps[n].ConcurrentNeed(); !limits.CanUse(need) {
+			return &workload.SpecError{Field: fmt.Sprintf("steps[%d].need", n), Value: need, Reason: fmt.Sprintf("must run at once, and %s may use at most %v of its cap of %v in one pool", svc.caller.Name, limits.Usable(), limits.Cap)}
 		}
 	}
 	return nil
--- a/node/follow.go
+++ b/node/follow.go
@@ -185,6 +185,9 @@
 	return nil, 0
 }
 
+// newestCaps returns the customers' caps in force, or nil if there is no configuration.
+func (c *configs) newestCaps() *quota.Policy { return c.quotas.Load() }
+
 // caps returns the customers' caps in force, and whether they were known to be the newest so
 // recently that no lower cap can have come into force since.
 func (c *configs) caps() (policy *quota.Policy, newest bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -191,7 +191,7 @@
 
 // intakeOptions returns the options of the intake service that depend on the node's parameters.
 func (n *Node) intakeOptions() []intake.Option {
-	options := []intake.Option{intake.WithCustomers(n.configs.customers)}
+	options := []intake.Option{intake.WithCustomers(n.configs.customers), intake.WithCaps(n.configs.newestCaps)}
 	if n.params.LowMemory != nil {
 		options = append(options, intake.WithLowMemory(n.params.LowMemory))
 	}
--- a/quota/policy.go
+++ b/quota/policy.go
@@ -40,6 +40,13 @@
 // hasCap reports whether any part of the cap is bounded.
 func (l Limits) hasCap() bool { return l.Cap != (pointport.Shape{}) }
 
+// Usable returns how much of the cap the tasks in one pool may use together at most: all but the even
+// parts of the other pools, which these may use at any time without asking. A zero part has no bound.
+func (l Limits) Usable() pointport.Shape { return l.PerPool.Plus(l.Floating) }
+
+// CanUse reports whether the tasks in one pool may ever use as much together.
+func (l Limits) CanUse(need pointport.Shape) bool { return l.withUnbounded(l.Usable()).Fits(need) }
+
 // tighterThan reports whether PerPool or Floating is lower in any part than before.
 func (l Limits) tighterThan(before Limits) bool {
 	return !l.withUnbounded(l.PerPool).Fits(before.withUnbounded(before.PerPool)) || !l.withUnbounded(l.Floating).Fits(before.withUnbounded(before.Floating))
