Pools claim a cap only for tasks that can start with it

Two gangs of one customer in two pools waited for each other for good: each pool held a part of the cap for its gang and neither had enough. An owner asked for all that its waiting tasks need, and kept what it got as long as they waited. The same way a pool kept all that floats for a task that needs more than a cap that was lowered after its job was accepted.

Now the tasks that only the cap holds back count as wanted as far as they fit into what the pool could use if it got all that is free, in the order of the plan. A pool that cannot start its gang even so claims nothing for it and returns what it does not use; when enough is free, the first to claim gets it.

TestGangsInTwoPoolsDoNotWaitForEachOther fails before the change: both jobs are queued after 10 s.

--- a/node/cap_test.go
+++ b/node/cap_test.go
@@ -80,6 +80,30 @@
 	})
 }
 
+// Guards against gangs in two pools that each hold a part of their customer's cap and wait for the rest.
+func TestGangsInTwoPoolsDoNotWaitForEachOther(t *testing.T) {
+	simulate(t, 3, func(c *cluster) {
+		c.configure(&workload.Catalog{Version: 2, Customers: customers(capOf(4), "bistro")})
+		time.Sleep(2 * time.Second)
+		n := c.nodes["n0"].node
+		shift, payout := queue(t, n, "shift-close"), queue(t, n, "payout-close")
+		submit := func(q *workload.Queue, id string, tasks int, cpu int64, gang bool) {
+			t.Helper()
+			step := workload.Step{Count: tasks, Need: pointport.Shape{CPUMilli: cpu, MemoryMiB: 16}, Estimate: time.Second, Gang: gang}
+			spec := &workload.Spec{Payload: fmt.Sprintf("duration=1s cpu=%d memory=16", cpu), Steps: []workload.Step{step}}
+			if err := asCustomer(n, "bistro").Submit(context.Background(), q, id, spec); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		submit(payout, jobID(1), 2, 700, false)
+		submit(shift, jobID(2), 2, 1200, true)
+		submit(payout, jobID(3), 2, 1200, true)
+		c.waitForStatusAs(asCustomer(n, "bistro"), shift, jobID(2), workload.Completed, 10*time.Second)
+		c.waitForStatusAs(asCustomer(n, "bistro"), payout, jobID(3), workload.Completed, 10*time.Second)
+	})
+}
+
 // A capMonitor checks a customer's cap independently of the nodes: it compares the cores of all
 // tasks that the customer has running on instances with the highest cap that still counts.
 type capMonitor struct {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,8 +23,8 @@
 
 // A Usage is what a pool uses of a customer's cap, as tasks declare it.
 type Usage struct {
-	// Used is the need of running tasks, Wanted that of tasks that wait only for the cap, and of serving
-	// tasks that have lost their instance.
+	// Used is the need of running tasks, Wanted that of tasks that wait only for the cap and fit into what
+	// is reachable, and of serving tasks that have lost their instance.
 	Used, Wanted pointport.Shape
 }
 
@@ -209,6 +209,24 @@
 	return limits.withUnbounded(limits.PerPool.Plus(h.confirmed(l.pool)))
 }
 
+// Reachable returns how much of each cap the pool could use if its row grew by all that no pool holds,
+// by customer. Customers without a cap are omitted.
+func (l *Ledger) Reachable() map[string]pointport.Shape {
+	if !l.policy.HasCaps() {
+		return nil
+	}
+	out := make(map[string]pointport.Shape, len(l.policy.byCustomer))
+	for name, limits := range l.policy.byCustomer {
+		out[name] = limits.withUnbounded(limits.PerPool.Plus(l.available(l.holding(name), limits)))
+	}
+	return out
+}
+
+// available returns the floating part of the cap without what other pools hold.
+func (l *Ledger) available(h *holding, limits Limits) pointport.Shape {
+	return nonNegative(limits.Floating.Minus(h.account.held(l.policy.pools, l.pool)))
+}
+
 // fits reports whether the rows of all pools fit into the floating part of the cap.
 func (l *Ledger) fits(h *holding, limits Limits) bool {
 	return limits.withUnbounded(limits.Floating).Fits(h.account.held(l.policy.pools, ""))
@@ -251,7 +269,7 @@
 func (l *Ledger) nextRow(now time.Time, h *holding, limits Limits) (Row, bool) {
 	confirmed := h.confirmed(l.pool)
 	needed := cappedParts(limits, nonNegative(h.usage.Used.Minus(limits.PerPool)))
-	available := nonNegative(limits.Floating.Minus(h.account.held(l.policy.pools, l.pool)))
+	available := l.available(h, limits)
 	targetFor := func(percent int64) pointport.Shape {
 		wanted := minShape(h.usage.Used.Plus(h.usage.Wanted), limits.withUnbounded(limits.Cap))
 		return cappedParts(limits, maxShape(needed, minShape(nonNegative(percentOf(wanted, percent).Minus(limits.PerPool)), available)))
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -114,7 +114,9 @@
 	// each customer's cap may be used in this pool.
 	accounts map[string]*account
 	allowed  map[string]pointport.Shape
-	weights  map[string]float64
+	// reachable holds how much of its cap each customer could use in this pool.
+	reachable map[string]pointport.Shape
+	weights   map[string]float64
 
 	estimates  *estimates
 	arrivals   arrivals
--- a/shard/caps.go
+++ b/shard/caps.go
@@ -59,6 +59,7 @@
 		}
 	}
 	o.scheduler.SetAllowed(allowed)
+	o.scheduler.SetReachable(o.caps.ledger.Reachable())
 }
 
 // watchAccounts follows the accounts until ctx ends.
