An owner reports on a lowered cap once under its own configuration

An owner that did not know a lowered cap yet, but read of it in the account, stored its unchanged row again with every plan until it learned of the cap. Each of these changes makes those of other owners conflict, which have to report before anything of the customer may start.

TestOwnerWithOlderConfigurationWritesItsRowOnce fails before the change (10 changes in 10 plans).

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -279,7 +279,7 @@
 	h.updateExcess(now, target, stored.Held, l.minShrink(h, limits))
 	grows := !confirmed.Fits(targetFor(growPercent))
 	shrinks := !h.excessSince.IsZero() && (now.Sub(h.excessSince) >= excessRetention || !l.fits(h, limits))
-	reports := h.loweredVersion > stored.Version
+	reports := min(h.loweredVersion, l.policy.version) > stored.Version
 	switch {
 	case !grows && !shrinks && !reports:
 		return Row{}, false
--- a/quota/standstill_test.go
+++ b/quota/standstill_test.go
@@ -85,3 +85,28 @@
 		})
 	}
 }
+
+// Guards against an owner with an older configuration that writes its row again and again, so that the
+// owners that have to report on a lowered cap cannot write theirs.
+func TestOwnerWithOlderConfigurationWritesItsRowOnce(t *testing.T) {
+	s := newSimulation(40_000, poolNames)
+	s.configure(20_000)
+	late := s.owners[0]
+	for _, o := range s.owners[1:] {
+		s.learnPolicy(o)
+		for _, c := range o.ledger.Changes(s.now, 1) {
+			s.store(o, c)
+		}
+	}
+	changes := 0
+	for range 10 {
+		_ = late.ledger.Apply(s.entries())
+		for _, c := range late.ledger.Changes(s.now, 1) {
+			s.store(late, c)
+			changes++
+		}
+	}
+	if changes > 1 {
+		t.Errorf("the owner changes its row %d times before it learns of the lower cap, want once at most; account %s", changes, s.value)
+	}
+}
