The fleet checks that no accepted job stands still

No test saw accepted jobs that stand still beside idle instances: the fleet's standing check is about serving tasks alone, and the soak looks once, 45 s after the last fault. Now the fleet observes each accepted job all the time, in the words of the users' rule: it is a violation if for 3 s nothing of a job runs while a task of it is ready, there is room for it twice over, and its customer and its pool use less than half of what they may, unless something disturbed the fleet within the last 14 s, which the rule grants after the end of the traffic. The random plays of whole nodes and the soak observe their jobs.

TestCustomerGoesOnAfterItsCapChanged plays changes of a cap on whole nodes while owners end or have no store.

--- a/node/cap_test.go
+++ b/node/cap_test.go
@@ -274,3 +274,77 @@
 		})
 	}
 }
+
+// Guards against a customer of which nothing starts any more after its cap was changed while it was at its
+// cap, also if an owner ends or has no store then.
+func TestCustomerGoesOnAfterItsCapChanged(t *testing.T) {
+	const full = 8000
+	const task = 700 * time.Millisecond
+	lower := func(limits ...int64) []int64 { return limits }
+	cases := map[string]struct {
+		limits []int64 // the caps that come into force, in thousandths of a core
+		pause  time.Duration
+		inject func(c *cluster)
+	}{
+		"by a hair":        {limits: lower(full - 1)},
+		"by 4 percent":     {limits: lower(7680)},
+		"by a tenth":       {limits: lower(7200)},
+		"by a half":        {limits: lower(4000)},
+		"again and again":  {limits: lower(7999, 7680, 7679, 8000, 7200, 7990), pause: 150 * time.Millisecond},
+		"while owners end": {limits: lower(7999, 7680), pause: 100 * time.Millisecond, inject: func(c *cluster) { c.kill(c.owner("shift")) }},
+		"with an owner's store away": {limits: lower(7999, 7680), inject: func(c *cluster) {
+			c.setStoreFault(storeFaultFor(memory.FaultLostCall, c.owner("shift")))
+			time.Sleep(time.Second)
+			c.setStoreFault(noStoreFault)
+		}},
+		"while answers are lost": {limits: lower(7999, 7680), inject: func(c *cluster) {
+			calls := 0
+			c.setStoreFault(func(_, op string) memory.Fault {
+				if calls++; op == "commit" && calls%2 == 0 {
+					return memory.FaultLostAnswer
+				}
+				return memory.FaultNone
+			})
+			time.Sleep(time.Second)
+			c.setStoreFault(noStoreFault)
+		}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 3, func(c *cluster) {
+				version := int64(2)
+				setCap := func(limit int64) {
+					shape := pointport.Shape{CPUMilli: limit}
+					c.configure(&workload.Catalog{Version: version, Customers: customers(map[string]pointport.Shape{"bistro": shape}, "bistro")})
+					c.fleet.SetCap("bistro", shape)
+					version++
+				}
+				setCap(full)
+				time.Sleep(2 * time.Second)
+				n := c.nodes["n0"].node
+				queues := []*workload.Queue{queue(t, n, "shift-close"), queue(t, n, "payout-close")}
+				spec := &workload.Spec{Payload: fmt.Sprintf("duration=%v cpu=500 memory=16", task), Steps: []workload.Step{{Count: 4, Need: pointport.Shape{CPUMilli: 500, MemoryMiB: 16}, Estimate: task}}}
+				const jobs = 60
+				for i := range jobs {
+					if err := asCustomer(n, "bistro").Submit(context.Background(), queues[i%3/2], jobID(i), spec); err != nil {
+						t.Fatal(err)
+					}
+					c.fleet.NoteAccepted(jobID(i), queues[i%3/2].Pool, "bistro", spec)
+				}
+				defer c.checkIdleJobs()()
+				time.Sleep(1500 * time.Millisecond)
+				for _, limit := range k.limits {
+					setCap(limit)
+					time.Sleep(k.pause)
+				}
+				if k.inject != nil {
+					k.inject(c)
+				}
+				time.Sleep(40 * time.Second)
+				for i := range jobs {
+					c.waitForStatusAs(asCustomer(c.anyNode(0), "bistro"), queues[i%3/2], jobID(i), workload.Completed, time.Millisecond*50)
+				}
+			})
+		})
+	}
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -320,6 +320,21 @@
 	time.Sleep(time.Minute)
 }
 
+// idleJobCheckInterval is how often the accepted jobs are observed.
+const idleJobCheckInterval = 250 * time.Millisecond
+
+// checkIdleJobs makes the fleet observe the accepted jobs until stop is called.
+func (c *cluster) checkIdleJobs() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			c.fleet.CheckIdleJobs()
+			time.Sleep(idleJobCheckInterval)
+		}
+	}()
+	return cancel
+}
+
 // checkViolations fails the test for each violation that the fleet has recorded.
 func (c *cluster) checkViolations() {
 	c.t.Helper()
--- a/node/play_test.go
+++ b/node/play_test.go
@@ -97,6 +97,7 @@
 		c.start(name)
 	}
 	time.Sleep(2 * time.Second)
+	defer c.checkIdleJobs()()
 	begun := time.Now()
 	p := &play{cluster: c, script: s, accepted: make([]atomic.Bool, len(s.jobs)), cancelled: make([]atomic.Bool, len(s.jobs)), storeWatches: make(map[string]func(node, op, key string))}
 	if s.handover {
@@ -160,10 +161,12 @@
 	time.Sleep(p.script.starts[n])
 	for try := range 400 {
 		if r := p.anyNode(n + try); r != nil {
+			q := p.queue(r, n)
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			err := r.node.Intake().Submit(ctx, p.queue(r, n), jobID(n), p.script.jobs[n])
+			err := r.node.Intake().Submit(ctx, q, jobID(n), p.script.jobs[n])
 			cancel()
 			if err == nil {
+				p.cluster.fleet.NoteAccepted(jobID(n), q.Pool, "", p.script.jobs[n])
 				p.accepted[n].Store(true)
 				return
 			}
--- a/soak/key_test.go
+++ b/soak/key_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"testing"
 	"time"
 
 	"github.com/pointport/pointport"
@@ -46,6 +48,41 @@
 	return all
 }
 
+// capParts are the parts of capCores, in thousandths, that changes of the cap choose from.
+var capParts = []int64{1000, 999, 960, 900, 500}
+
+// changeCaps changes the first customer's cap until ctx ends, and leaves it lower by a hair: tasks that run
+// for long may need more than a half.
+func (s *soak) changeCaps(ctx context.Context, t *testing.T, r *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(r.IntN(2000))*time.Millisecond)
+		for range 1 + r.IntN(3) {
+			s.setCap(t, capCores*capParts[r.IntN(len(capParts))])
+			pause(ctx, time.Duration(r.IntN(400))*time.Millisecond)
+		}
+	}
+	s.setCap(t, capCores*capParts[0])
+	s.setCap(t, capCores*capParts[1])
+}
+
+// setCap puts another cap of the first customer into force, in thousandths of a core.
+func (s *soak) setCap(t *testing.T, limit int64) {
+	s.record("cap of %s is %d", customerNames[0], limit)
+	defer s.grid.Fleet().BeginDisturbance()()
+	shape := pointport.Shape{CPUMilli: limit}
+	all := soakCustomers()
+	all[0].Cap = shape
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.catalog
+	next.Customers = customers.NewDirectory(all)
+	s.catalog = &next
+	if err := s.grid.Configure(s.catalog); err != nil {
+		t.Error(err)
+	}
+	s.grid.Fleet().SetCap(customerNames[0], shape)
+}
+
 func soakKey(name string) string { return "key-of-" + name }
 
 func soakKeys() map[string][]string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -115,6 +115,7 @@
 	}
 	t.Cleanup(g.Close)
 	s.grid, s.catalog = g, g.Catalog()
+	g.Fleet().SetCap(customerNames[0], pointport.Shape{CPUMilli: capCores * 1000})
 	for i := range s.catalog.Queues {
 		s.queues = append(s.queues, &s.catalog.Queues[i])
 	}
@@ -304,6 +305,7 @@
 	withFleetFaults            // also fleetFaults, and tasks that crash instances
 	withLinkFaults             // also linkFaults, slow clocks, a lagging list and brief crashes
 	withBatchFaults            // also ends of owners within batches
+	withCapFaults              // also changes of the first customer's cap
 )
 
 // run runs one seed. Fleet faults and link faults have random sources of their own, so that
@@ -320,6 +322,9 @@
 	const customersAtOnce = 4
 	customers := s.customers(customerCtx, r, customersAtOnce)
 	go s.checkCap(customerCtx)
+	checkCtx, endChecks := context.WithCancel(context.Background())
+	defer endChecks()
+	go s.checkIdleJobs(checkCtx)
 	var faults sync.WaitGroup
 	if level >= withFleetFaults {
 		faults.Go(func() { s.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 3)), fleetFaults) })
@@ -332,6 +337,9 @@
 	if level >= withBatchFaults {
 		faults.Go(func() { s.endOwnersWithinBatches(ctx, rand.New(rand.NewPCG(seed, 7))) })
 	}
+	if level >= withCapFaults {
+		faults.Go(func() { s.changeCaps(ctx, t, rand.New(rand.NewPCG(seed, 8))) })
+	}
 	faults.Go(func() { s.evacuateZones(ctx, rand.New(rand.NewPCG(seed, 6))) })
 	s.injectFaults(ctx, t, r, basicFaults)
 	faults.Wait()
@@ -359,17 +367,31 @@
 	t.Errorf("seed %d, logs in %q:\n%s\nhistory:\n%s", seed, logDir, strings.Join(s.failures, "\n"), strings.Join(s.history, "\n"))
 }
 
-// fleetFaultsMark, linkFaultsMark and batchFaultsMark begin the cause of a seed in testdata/seeds.txt that runs at
+// idleJobCheckInterval is how often the accepted jobs are observed.
+const idleJobCheckInterval = 250 * time.Millisecond
+
+// checkIdleJobs makes the fleet observe the accepted jobs until ctx ends.
+func (s *soak) checkIdleJobs(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.grid.Fleet().CheckIdleJobs()
+		pause(ctx, idleJobCheckInterval)
+	}
+}
+
+// fleetFaultsMark, linkFaultsMark, batchFaultsMark and capFaultsMark begin the cause of a seed in testdata/seeds.txt that runs at
 // that fault level.
 const (
 	fleetFaultsMark = "fleet faults: "
 	linkFaultsMark  = "link faults: "
 	batchFaultsMark = "batch faults: "
+	capFaultsMark   = "cap faults: "
 )
 
 // faultLevelOf returns the fault level for the cause of a failed seed.
 func faultLevelOf(cause string) faultLevel {
 	switch {
+	case strings.HasPrefix(cause, capFaultsMark):
+		return withCapFaults
 	case strings.HasPrefix(cause, batchFaultsMark):
 		return withBatchFaults
 	case strings.HasPrefix(cause, linkFaultsMark):
@@ -424,11 +446,17 @@
 	run(t, cmp.Or(*seedFlag, fixedSeed), withLinkFaults)
 }
 
+// TestCapFaults runs a seed in which, in addition, owners end within batches and the cap of a customer
+// changes, by a hair, a tenth or a half and several times in a second.
+func TestCapFaults(t *testing.T) {
+	run(t, cmp.Or(*seedFlag, fixedSeed), withCapFaults)
+}
+
 // TestFreshSeeds runs as many new seeds as -soak.seeds asks for.
 func TestFreshSeeds(t *testing.T) {
 	limit := make(chan struct{}, *parallel)
 	for range *freshSeeds {
-		runSeedInParallel(t, limit, uint64(time.Now().UnixNano()), withBatchFaults)
+		runSeedInParallel(t, limit, uint64(time.Now().UnixNano()), withCapFaults)
 	}
 }
 
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -89,6 +89,7 @@
 	checksCancelTime bool
 	checkpoints      map[string]map[string]bool // by task, the checkpoints that its runs have saved
 	serving          servingTasks
+	accepted         acceptedJobs
 }
 
 // The durations of a fleet's operations, as on the users' platform. MaxHold is the longest lease
@@ -114,7 +115,8 @@
 		cancelled: make(map[string]acknowledgedCancellation), checkpoints: make(map[string]map[string]bool),
 		evacuatedSince: make(map[pointport.ZoneID]time.Time), startsIn: make(map[pointport.ZoneID]int),
 		stoppedServices: make(map[string]bool), crashes: make(map[string]int), lostToInjectedCrash: make(map[string]bool), startsAfterCrashes: make(map[string]int), failedEnds: make(map[string][]*failedEnd),
-		serving: servingTasks{away: make(map[string]*awayTask), cancelRequested: make(map[string]bool), ordersDisturb: true},
+		serving:  servingTasks{away: make(map[string]*awayTask), cancelRequested: make(map[string]bool), ordersDisturb: true},
+		accepted: acceptedJobs{byID: make(map[string]*acceptedJob), caps: make(map[string]pointport.Shape)},
 	}
 	for _, o := range options {
 		o(f)
--- a/testbed/serving.go
+++ b/testbed/serving.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pointport/pointport"
-	"github.com/pointport/pointport/workload"
 )
 
 // This file checks that serving tasks of open jobs are back in time after their last run has ended.
@@ -233,10 +232,7 @@
 // cancellation of its job was requested, or the task itself has crashed so many instances that it may be
 // given up. The lock is held.
 func (f *Fleet) needNotRun(task string) bool {
-	job, _, err := workload.ParseTaskName(task)
-	if err != nil {
-		job = task // a test may name its tasks freely
-	}
+	job := jobOf(task)
 	_, cancelled := f.cancelled[job]
 	return cancelled || f.serving.cancelRequested[job] || f.crashes[task] >= crashesUntilGivenUp
 }
@@ -257,10 +253,7 @@
 // couldServe reports whether a machine could take a run of a serving task beside the other serving
 // tasks.
 func (m *Machine) couldServe(r *run) bool {
-	if m.current == nil || m.state != pointport.MachineUp || m.pool != r.pool || !m.drainsAt.IsZero() {
-		return false
-	}
-	if r.work.Label != "" && !slices.Contains(m.labels(), r.work.Label) {
+	if !m.accepts(r.pool, r.work.Label) {
 		return false
 	}
 	free, ofStep := m.capacity, 0
