--- a/schedule/away.go
+++ b/schedule/away.go
@@ -52,7 +52,8 @@
 	if since.IsZero() {
 		since = now
 	}
-	s.awayCheckedAt, s.awayLines, s.unprovenAway = now, 0, 0
+	s.awayCheckedAt, s.awayLines = now, 0
+	s.awaitsProof = s.anyUnprovenRun()
 	for e := range s.serving {
 		if e.ended == "" && !e.job.Stopping() {
 			s.checkAwayTasks(now, since, e)
@@ -60,9 +61,24 @@
 	}
 }
 
-// AwaitsProof reports whether serving tasks waited for proof that their last run has ended when they were
-// last checked.
-func (s *Scheduler) AwaitsProof() bool { return s.unprovenAway > 0 }
+// AwaitsProof reports whether tasks waited for proof that their last run has ended when that was last
+// checked.
+func (s *Scheduler) AwaitsProof() bool { return s.awaitsProof }
+
+// anyUnprovenRun reports whether any run may or may not go on, because its instance does not answer.
+func (s *Scheduler) anyUnprovenRun() bool {
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			if r.unproven() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unproven reports whether a run may or may not go on, because its instance does not answer.
+func (r *Run) unproven() bool { return r.worker.silent || r.state == runInherited }
 
 // checkAwayTasks checks the serving tasks of a job.
 func (s *Scheduler) checkAwayTasks(now, since time.Time, e *entry) {
@@ -87,9 +103,6 @@
 		a = &absence{since: since}
 		e.away[ref] = a
 	}
-	if e.awayReason(ref) == awayUnproven {
-		s.unprovenAway++
-	}
 	if now.Sub(a.since) >= awayLogAfter && now.Sub(a.loggedAt) >= awayLogInterval && s.awayLines < maxAwayLines {
 		a.loggedAt = now
 		s.awayLines++
@@ -110,7 +123,7 @@
 		return awayGivenUp
 	case r == nil:
 		return awayWaiting
-	case r.worker.silent, r.state == runInherited:
+	case r.unproven():
 		return awayUnproven
 	}
 	return awayStarting
--- a/schedule/away_test.go
+++ b/schedule/away_test.go
@@ -70,3 +70,24 @@
 
 // awayStep is the time between two plans.
 const awayStep = 100 * time.Millisecond
+
+// Guards against a pool that is handed over while tasks that end wait for proof that their runs have ended, so
+// that the wait begins anew and a job stands still for longer than it may.
+func TestTasksThatEndAwaitProofOnSilentInstance(t *testing.T) {
+	s := newTestScheduler()
+	registerIdle(s, start, incarnation(0))
+	s.Add(start, job("a", policy, step(1, 100, nil)))
+	acceptStarts(s, orders(s, start), start)
+	check := func(at time.Duration, want bool) {
+		t.Helper()
+		orders(s, start.Add(at))
+		if s.AwaitsProof() != want {
+			t.Errorf("after %v: awaits proof %t, want %t", at, s.AwaitsProof(), want)
+		}
+	}
+	check(time.Second, false)
+	s.PollFailed(s.Workers()[0], start.Add(time.Second), &pointport.UnavailableError{Op: "hold", Ambiguous: true})
+	check(2*time.Second, true)
+	s.EndIncarnation(start.Add(2*time.Second), incarnation(0).ID())
+	check(3*time.Second, false)
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -128,10 +128,10 @@
 	// occurrences, serving those with serving tasks until their end is stored.
 	waitingJobs, recurring, serving map[*entry]struct{}
 	// awayCheckedAt is when serving tasks were last checked for absences, awayLines how many were
-	// logged then, and unprovenAway how many waited for proof.
+	// logged then, and awaitsProof whether tasks waited for proof that a run has ended.
 	awayCheckedAt time.Time
 	awayLines     int
-	unprovenAway  int
+	awaitsProof   bool
 	// startWatchAt is when watched starts are checked next, zero if there are none.
 	startWatchAt   time.Time
 	unstoredStarts []*Run // placed, but their start is not stored yet
