Ask the advisor for one step after the other, when it can work on it

Cause: each plan sent a request for every step that waited, at once, although the advisor works on one request of a process at a time. Requests aged in its queue. The validity of their tickets was counted from when they were sent, so with some 20 of them tickets had expired on arrival, and all steps asked again. Answers after 4 s were dropped, and refused requests were repeated after a fixed 0.3 s. Nothing that waited could let go of this.

Now the owners of a process take turns, two calls at a time, and an owner decides what to ask when its turn has come: about the first step of the plan's order that has room somewhere, then the first about which the advisor was not asked. So a step whose job was cancelled or placed meanwhile asks nothing, and one that waits for room does not renew its tickets. A request names as many instances as the advisor works on in half of the validity, by the figures of the queue; while others wait, as many as find one with the least work. Tickets count from when the advisor began to work on the request at the earliest; the reserve for a start is a quarter of what is left of a short validity, so that tickets of 0.4 s and less are used. The timeout follows the figures, a turn is kept for a growing pause after a failure, and a ticket that an instance has refused is not used again.

The fleet has a stand-in of the advisor: one request at a time for each member, in turn, 429 with 32 waiting. TestJobsThatNeedAdviceAreDoneAfterBurst plays ten bursts on whole nodes with it. TestAdviceIsRequestedInOrderOfThePlan and the other new tests of the scheduler use the new requests, so they cannot run on the former code.

--- a/executor.go
+++ b/executor.go
@@ -182,10 +182,25 @@
 	return fmt.Sprintf("incarnation %s has ended: %s answers", e.Incarnation, e.AnsweredBy)
 }
 
+// An AdviceQuery asks an Advisor which of some incarnations may run a step.
+type AdviceQuery struct {
+	Step         string
+	Incarnations []IncarnationID
+	// Expected is how long the advisor works on the query according to the configuration.
+	Expected time.Duration
+}
+
+// Advice is the answer to an AdviceQuery.
+type Advice struct {
+	// Tickets holds a ticket for each of the incarnations that may run the step.
+	Tickets map[IncarnationID]string
+	// ValidFor is how long the tickets are valid from when they were issued.
+	ValidFor time.Duration
+}
+
 // An Advisor decides which incarnations may run a step, for queues whose policy
 // requires it.
 type Advisor interface {
-	// Advise returns a ticket for each of the incarnations that may run the step,
-	// and how long the tickets are valid.
-	Advise(ctx context.Context, step string, incarnations []IncarnationID) (map[IncarnationID]string, time.Duration, error)
+	// Advise returns tickets for the incarnations that may run the step.
+	Advise(ctx context.Context, q AdviceQuery) (Advice, error)
 }
--- a/meter/calls.go
+++ b/meter/calls.go
@@ -143,9 +143,9 @@
 // Advisor returns a wrapper of next that measures its calls.
 func (m *Meter) Advisor(next pointport.Advisor) pointport.Advisor { return &advisor{next, m} }
 
-func (a *advisor) Advise(ctx context.Context, step string, incarnations []pointport.IncarnationID) (map[pointport.IncarnationID]string, time.Duration, error) {
+func (a *advisor) Advise(ctx context.Context, q pointport.AdviceQuery) (pointport.Advice, error) {
 	start := a.meter.clock.Now()
-	tickets, valid, err := a.next.Advise(ctx, step, incarnations)
+	answer, err := a.next.Advise(ctx, q)
 	a.meter.observeCall(toAdvisor, "advise", start, 0, err)
-	return tickets, valid, err
+	return answer, err
 }
--- a/node/cap_test.go
+++ b/node/cap_test.go
@@ -329,7 +329,7 @@
 					if err := asCustomer(n, "bistro").Submit(context.Background(), queues[i%3/2], jobID(i), spec); err != nil {
 						t.Fatal(err)
 					}
-					c.fleet.NoteAccepted(jobID(i), queues[i%3/2].Pool, "bistro", spec)
+					c.fleet.NoteAccepted(jobID(i), queues[i%3/2], "bistro", spec)
 				}
 				defer c.checkIdleJobs()()
 				time.Sleep(1500 * time.Millisecond)
--- a/node/cluster_options_test.go
+++ b/node/cluster_options_test.go
@@ -17,6 +17,11 @@
 	return func(_ *cluster, o *[]testbed.Option) { *o = append(*o, testbed.WithWork(w)) }
 }
 
+// withAdvice adds an advisor.
+func withAdvice(settings testbed.AdvisorSettings) clusterOption {
+	return func(c *cluster, _ *[]testbed.Option) { c.adviceSettings = &settings }
+}
+
 // withoutSteward keeps instances in their pools.
 func withoutSteward() clusterOption {
 	return func(c *cluster, _ *[]testbed.Option) { c.noSteward = true }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -39,8 +39,11 @@
 	onStoreCall func(node, op, key string) // is called with each store call before it is carried out
 	network     testbed.Network
 	peersCut    map[string]bool
-	peersSilent bool // whether requests between nodes get no response
-	nodes       map[string]*running
+	// advice is the advisor, which has adviceSettings; nil if there is none.
+	advice         *testbed.AdviceService
+	adviceSettings *testbed.AdvisorSettings
+	peersSilent    bool // whether requests between nodes get no response
+	nodes          map[string]*running
 	// endOutage ends the disturbance that no node runs; nil while there is one or none was started.
 	endOutage func()
 	logs      *logs
@@ -97,6 +100,9 @@
 		o(c, &fleetOptions)
 	}
 	c.fleet = testbed.New(clock.System{}, fleetOptions...)
+	if c.adviceSettings != nil {
+		c.advice = c.fleet.NewAdviceService(*c.adviceSettings)
+	}
 	size := pointport.Shape{CPUMilli: 4000, MemoryMiB: 8192}
 	for n, pool := range c.machinePools {
 		zone := pointport.ZoneID([]string{"north", "south"}[n%2])
@@ -157,6 +163,9 @@
 	if c.platformRegistrations {
 		services.Registrations = node.Source[pointport.Incarnation]{Prefix: platform.RegistrationPrefix, Decode: platform.DecodeRegistration, MaxValue: platform.MaxRegistrationBytes}
 	}
+	if c.advice != nil {
+		services.Advisor = c.advice.Advisor(name)
+	}
 	if c.noSteward {
 		services.Machines = nil
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,6 +195,19 @@
 	return c.quotas.Load(), c.confirmedRecently()
 }
 
+// adviceFigures returns how the advisor behaves for a queue, zero if the queue is not known.
+func (c *configs) adviceFigures(queue string) workload.Advice {
+	k := c.Catalog()
+	if k == nil {
+		return workload.Advice{}
+	}
+	n := slices.IndexFunc(k.Queues, func(q workload.Queue) bool { return q.Name == queue })
+	if n < 0 {
+		return workload.Advice{}
+	}
+	return k.Queues[n].Advice
+}
+
 // workPools returns the names of the pools that need an owner.
 func (c *configs) workPools() []string {
 	if k := c.Catalog(); k != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,7 @@
 	evacuations    *evacuations
 	poolManager    *member.PoolManager[*shard.Owner]
 	stewardManager *member.PoolManager[*steward.Steward]
+	advisor        *shard.SharedAdvisor // nil if there is none
 	intake         *intake.Service
 	owners         *peer.OwnerClient
 	peerClient     *http.Client // for requests and orders to peers
@@ -175,6 +176,9 @@
 	n.configs = startConfigs(ctx, s.KV, s.Clock, s.Config, n.roster.Size, cmp.Or(p.ConfigApplyTime, DefaultConfigApplyTime), logger)
 	n.registrations = newRegistrations(ctx, s.KV, s.Clock, s.Registrations, logger)
 	n.evacuations = newEvacuations(ctx, s.KV, s.Clock, s.Evacuations, cmp.Or(p.EvacuationTime, DefaultEvacuationTime), logger)
+	if s.Advisor != nil {
+		n.advisor = shard.NewSharedAdvisor(s.Advisor, s.Clock)
+	}
 	n.poolManager = member.StartPoolManager(ctx, s.Clock, n.session, n.roster, n.configs.workPools, n.startOwner(ctx), logger, member.UsePeerLeases())
 	n.owners = peer.NewOwnerClient(n.poolManager, n.roster, n.peerClient, s.Clock, logger)
 	if s.Machines != nil {
@@ -229,7 +233,7 @@
 func (n *Node) startOwner(ctx context.Context) func(member.Ownership) *shard.Owner {
 	s := n.services
 	services := shard.Services{
-		KV: s.KV, Executor: s.Executor, Advisor: s.Advisor, Clock: s.Clock, Session: n.session, Fleet: n.registrations,
+		KV: s.KV, Executor: s.Executor, Advisor: n.advisor, AdviceFigures: n.configs.adviceFigures, Clock: s.Clock, Session: n.session, Fleet: n.registrations,
 		Delegates: n.delegates, Quotas: n.configs.caps, Evacuations: n.evacuations.Zones,
 	}
 	return func(own member.Ownership) *shard.Owner {
--- a/node/play_test.go
+++ b/node/play_test.go
@@ -166,7 +166,7 @@
 			err := r.node.Intake().Submit(ctx, q, jobID(n), p.script.jobs[n])
 			cancel()
 			if err == nil {
-				p.cluster.fleet.NoteAccepted(jobID(n), q.Pool, "", p.script.jobs[n])
+				p.cluster.fleet.NoteAccepted(jobID(n), q, "", p.script.jobs[n])
 				p.accepted[n].Store(true)
 				return
 			}
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -250,12 +251,9 @@
 	advised.Advised = true
 	s.Add(start, job("a", advised, step(1, 500, nil)))
 	orders(s, start)
-	for _, q := range s.TakeAdviceRequests() {
-		for _, id := range q.Incarnations {
-			if id == "i-0" {
-				t.Errorf("advice request %+v contains an instance in the evacuated zone", q)
-			}
-		}
+	q, ok := s.NextAdviceRequest(start, noFigures)
+	if !ok || !slices.Equal(q.Incarnations, []pointport.IncarnationID{"i-1"}) {
+		t.Errorf("advice request %+v, want one about the instance outside of the evacuated zone", q)
 	}
 }
 
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -111,8 +111,11 @@
 	case pointport.RejectFence:
 		// Another owner decides about the task now.
 	default:
-		if rejected.Reason == pointport.RejectNoCapacity || rejected.Reason == pointport.RejectUnhealthy {
+		switch rejected.Reason {
+		case pointport.RejectNoCapacity, pointport.RejectUnhealthy:
 			r.worker.refusingUntil = now.Add(refusalBackoff)
+		case pointport.RejectTicket:
+			s.ticketRefused(r)
 		}
 		s.startRefused(r, now)
 	}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -28,6 +28,7 @@
 	s.watchStarts(now)
 	s.expireReservations(now)
 	s.resetWaiting()
+	s.advice.tasks = nil
 	if len(s.waitingJobs) == 0 {
 		return
 	}
@@ -151,7 +152,7 @@
 		e.starved = time.Time{}
 		return
 	}
-	p.scheduler.seekAdvice(p.now, *missed)
+	p.scheduler.seekAdvice(*missed)
 	if placed {
 		return
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -152,8 +152,8 @@
 	pollNow map[*Worker]struct{}
 	// gangs holds the gangs whose members have not all started yet.
 	gangs map[*gang]struct{}
-	// adviceRequests holds the requests to send to the advisor.
-	adviceRequests []AdviceRequest
+	// advice holds the steps that need advice.
+	advice adviceNeeds
 	// preemptibleRuns counts the runs of jobs that others may preempt.
 	preemptibleRuns int
 	// scarceLabels holds the labels that waiting tasks require.
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -329,11 +329,14 @@
 	if got := startsByIncarnation(orders(s, start)); len(got) != 0 {
 		t.Fatalf("starts %v without advice", got)
 	}
-	requests := s.TakeAdviceRequests()
-	if len(requests) != 1 || requests[0].Step != "a.0.0" || len(requests[0].Incarnations) != 3 {
-		t.Fatalf("advice requests %+v, want one for all instances", requests)
+	request, ok := s.NextAdviceRequest(start, noFigures)
+	if !ok || request.Step != "a.0.0" || len(request.Incarnations) != 3 {
+		t.Fatalf("advice request %+v, want one for all instances", request)
 	}
-	s.AdviceAnswered(requests[0], start, start, map[pointport.IncarnationID]string{"i-2": "ticket"}, 3*time.Second, nil)
+	if again, ok := s.NextAdviceRequest(start, noFigures); ok {
+		t.Errorf("advice request %+v while one about the step is in flight", again)
+	}
+	s.AdviceAnswered(request, start, start, adviceFor(3*time.Second, "i-2"), nil)
 	got := orders(s, start)
 	if startsByIncarnation(got)["i-2"] != 2 || got[0].Ticket != "ticket" {
 		t.Errorf("orders %+v, want two starts with the ticket", got)
--- a/schedule/unrecorded_test.go
+++ b/schedule/unrecorded_test.go
@@ -116,8 +116,8 @@
 		"advised": func(s *schedule.Scheduler) {
 			s.Add(start, begunJob("a", advised, step(1, 100, nil)))
 			s.Plan(start)
-			for _, r := range s.TakeAdviceRequests() {
-				s.AdviceAnswered(r, start, start, map[pointport.IncarnationID]string{"i-0": "ticket"}, time.Minute, nil)
+			if r, ok := s.NextAdviceRequest(start, noFigures); ok {
+				s.AdviceAnswered(r, start, start, adviceFor(time.Minute, "i-0"), nil)
 			}
 		},
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -30,6 +30,7 @@
 	"github.com/pointport/pointport/member"
 	"github.com/pointport/pointport/quota"
 	"github.com/pointport/pointport/schedule"
+	"github.com/pointport/pointport/workload"
 )
 
 // This file defines the owner of a pool and its loop.
@@ -86,11 +87,13 @@
 	KV       pointport.KV
 	Executor pointport.Executor
 	// Advisor returns the instances on which the steps of queues that require
-	// advice may run; nil if there is no advisor.
-	Advisor pointport.Advisor
-	Clock   pointport.Clock
-	Session *member.Session
-	Fleet   Incarnations
+	// advice may run; nil if there is no advisor. AdviceFigures returns how it behaves
+	// for a queue.
+	Advisor       *SharedAdvisor
+	AdviceFigures func(queue string) workload.Advice
+	Clock         pointport.Clock
+	Session       *member.Session
+	Fleet         Incarnations
 	// Quotas returns the customers' caps as configured, and whether that
 	// configuration is known to be current; nil if no customer has a cap.
 	Quotas func() (policy *quota.Policy, fresh bool)
@@ -119,7 +122,8 @@
 	// whether all orders currently go through it.
 	delegates          Delegates
 	delegating         bool
-	advisor            pointport.Advisor
+	advisor            *SharedAdvisor
+	adviceFigures      func(queue string) workload.Advice
 	clock              pointport.Clock
 	session            *member.Session
 	fleet              Incarnations
@@ -167,6 +171,9 @@
 	waiters         []waiter
 	cancellations   *cancellationKeys
 	caps            *caps
+	// adviceCalls is how many requests for advice are in flight or wait for a turn.
+	adviceCalls       int
+	noAdvisorLoggedAt time.Time
 	// backlogRefusals is for how long to refuse further jobs, by customer, computed at
 	// backlogRefusalsAt.
 	backlogRefusals atomic.Pointer[map[string]time.Duration]
@@ -208,7 +215,7 @@
 func Start(ctx context.Context, s Services, ownership member.Ownership, logger *slog.Logger, options ...Option) *Owner {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &Owner{
-		kv: s.KV, executor: s.Executor, advisor: s.Advisor, clock: s.Clock, session: s.Session, fleet: s.Fleet, quotas: s.Quotas, evacuations: s.Evacuations, ownership: ownership,
+		kv: s.KV, executor: s.Executor, advisor: s.Advisor, adviceFigures: s.AdviceFigures, clock: s.Clock, session: s.Session, fleet: s.Fleet, quotas: s.Quotas, evacuations: s.Evacuations, ownership: ownership,
 		logger: logger.With(slog.String("pool", ownership.Pool), slog.Int64("fence", int64(ownership.Fence))),
 		lease:  DefaultLease, maxHold: defaultMaxHold, gangTimeout: defaultGangTimeout, remoteDataSlowdown: defaultRemoteDataSlowdown,
 		inbox: make(chan func(time.Time), inboxSize), ready: make(chan struct{}), done: make(chan struct{}),
--- a/shard/write.go
+++ b/shard/write.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/pointport/pointport"
 	"github.com/pointport/pointport/event"
 	"github.com/pointport/pointport/schedule"
 )
@@ -105,21 +104,3 @@
 	o.err = err
 	o.cancel()
 }
-
-// requestAdvice sends the pending requests for advice to the advisor.
-func (o *Owner) requestAdvice(ctx context.Context, asked time.Time) {
-	for _, request := range o.scheduler.TakeAdviceRequests() {
-		go func() {
-			var tickets map[pointport.IncarnationID]string
-			var valid time.Duration
-			err := errNoAdvisor
-			if o.advisor != nil {
-				tickets, valid, err = o.advisor.Advise(ctx, request.Step, request.Incarnations)
-			}
-			o.enqueue(func(now time.Time) { o.scheduler.AdviceAnswered(request, asked, now, tickets, valid, err) })
-		}()
-	}
-}
-
-// errNoAdvisor is the result of a request for advice if there is no advisor.
-var errNoAdvisor = errors.New("the queue requires advice, but no advisor is configured")
--- a/soak/customer_test.go
+++ b/soak/customer_test.go
@@ -168,7 +168,7 @@
 		switch {
 		case err == nil:
 			c.soak.jobs.update(func() { t.outcome = accepted })
-			c.soak.grid.Fleet().NoteAccepted(t.id, t.queue.Pool, t.customer, t.spec)
+			c.soak.grid.Fleet().NoteAccepted(t.id, t.queue, t.customer, t.spec)
 			return
 		case errors.As(err, &refusal):
 			time.Sleep(min(refusal.RetryAfter, time.Second))
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -90,6 +90,7 @@
 	checkpoints      map[string]map[string]bool // by task, the checkpoints that its runs have saved
 	serving          servingTasks
 	accepted         acceptedJobs
+	advice           *AdviceService // nil if there is no advisor
 }
 
 // The durations of a fleet's operations, as on the users' platform. MaxHold is the longest lease
--- a/testbed/idle_job.go
+++ b/testbed/idle_job.go
@@ -25,6 +25,7 @@
 type acceptedJob struct {
 	id, pool, customer string
 	spec               *workload.Spec
+	advised            bool // whether its steps may run only where the advisor allows it
 	// idleSince is since when the job should have had something running, zero while it need not.
 	idleSince time.Time
 	reported  bool
@@ -37,11 +38,11 @@
 	caps map[string]pointport.Shape
 }
 
-// NoteAccepted records that a job was accepted for a pool. From then on CheckIdleJobs observes it.
-func (f *Fleet) NoteAccepted(id, pool, customer string, spec *workload.Spec) {
+// NoteAccepted records that a job was accepted for a queue. From then on CheckIdleJobs observes it.
+func (f *Fleet) NoteAccepted(id string, q *workload.Queue, customer string, spec *workload.Spec) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.accepted.byID[id] = &acceptedJob{id: id, pool: pool, customer: customer, spec: spec}
+	f.accepted.byID[id] = &acceptedJob{id: id, pool: q.Pool, customer: customer, spec: spec, advised: q.Policy.Advised}
 }
 
 // SetCap sets the cap of a customer.
@@ -196,8 +197,9 @@
 		need = 2 * s.Count
 	}
 	for _, m := range f.machines {
-		if m.accepts(j.pool, s.Label) && f.evacuatedSince[m.zone].IsZero() {
-			need -= m.roomFor(s, gangName(j.tasksOf(step)[0]))
+		name := gangName(j.tasksOf(step)[0])
+		if m.accepts(j.pool, s.Label) && f.evacuatedSince[m.zone].IsZero() && (!j.advised || f.advice.settings.MayRun(name, m.id)) {
+			need -= m.roomFor(s, name)
 		}
 	}
 	return need <= 0
--- a/testbed/idle_job_test.go
+++ b/testbed/idle_job_test.go
@@ -34,7 +34,7 @@
 
 // runOther runs n tasks of another job of the same customer, which are accepted.
 func runOther(f *servingFleet, n int) {
-	f.NoteAccepted(otherJob, "shift", "bistro", &workload.Spec{Steps: []workload.Step{{Count: n, Need: servingShape}}})
+	f.NoteAccepted(otherJob, &workload.Queue{Pool: "shift"}, "bistro", &workload.Spec{Steps: []workload.Step{{Count: n, Need: servingShape}}})
 	for i, id := range []pointport.InstanceID{"m-0", "m-1", "m-2"}[:n] {
 		f.start(id, workload.TaskName(otherJob, workload.TaskRef{Index: i}), 1)
 	}
@@ -83,7 +83,7 @@
 				if k.change != nil {
 					k.change(&step)
 				}
-				f.NoteAccepted(idleJob, "shift", "bistro", &workload.Spec{Steps: []workload.Step{step}})
+				f.NoteAccepted(idleJob, &workload.Queue{Pool: "shift"}, "bistro", &workload.Spec{Steps: []workload.Step{step}})
 				if k.before != nil {
 					k.before(f)
 				}
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -195,6 +195,9 @@
 		return i.reject(pointport.RejectOldRun)
 	}
 	work := i.fleet.work(o)
+	if work.Advised && !i.fleet.advice.allows(now, gangName(o.Task), i.id, o.Ticket) {
+		return i.reject(pointport.RejectTicket)
+	}
 	if !i.free().Fits(work.Reservation) {
 		if i.fleet.enforcesCapacity {
 			return i.reject(pointport.RejectNoCapacity)
--- a/testbed/work.go
+++ b/testbed/work.go
@@ -38,6 +38,8 @@
 	// an instance may have at once; empty and zero for no limit. The check of serving tasks uses them.
 	Label          string
 	MaxPerInstance int
+	// Advised makes the instance refuse a start without a ticket of the advisor.
+	Advised bool
 	// Checkpoint is the text of the checkpoints that a run saves. If it is empty, or the task serves
 	// or is a member of a gang, the run saves none.
 	Checkpoint string
@@ -49,7 +51,7 @@
 type WorkSource func(order pointport.StartOrder) Work
 
 // PayloadWork reads what a task does from its payload: words such as "duration=300ms cpu=500
-// memory=256 fails=true crashes=true serves=true". It ignores unknown words.
+// memory=256 fails=true crashes=true serves=true advised=true". It ignores unknown words.
 func PayloadWork(order pointport.StartOrder) Work {
 	w := Work{Duration: defaultDuration}
 	for _, word := range strings.Fields(order.Payload) {
@@ -69,6 +71,8 @@
 			w.Crashes = value == "true"
 		case "serves":
 			w.Service = value == "true"
+		case "advised":
+			w.Advised = value == "true"
 		}
 	}
 	return w
--- a/workload/catalog.go
+++ b/workload/catalog.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -36,6 +37,18 @@
 	ValidFor    time.Duration `json:"Valid"` // how long an answer is valid
 }
 
+// TimeFor returns the answer time of a request that names n instances.
+func (a Advice) TimeFor(n int) time.Duration { return a.Base + time.Duration(n)*a.PerInstance }
+
+// MaxInstances returns how many instances a request may name, at least one, so that it is answered within a
+// time.
+func (a Advice) MaxInstances(within time.Duration) int {
+	if a.PerInstance <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int((within-a.Base)/a.PerInstance))
+}
+
 // A PoolInfo is the configuration of a pool.
 type PoolInfo struct {
 	Name string
