--- a/node/advice_test.go
+++ b/node/advice_test.go
@@ -91,7 +91,7 @@
 
 func (k *adviceCase) play(t *testing.T) {
 	step := k.step
-	work := func(o pointport.StartOrder) testbed.Work {
+	work := func(pointport.StartOrder) testbed.Work {
 		w := testbed.Work{Reservation: step.Need, Duration: step.Estimate, MaxPerInstance: step.MaxPerInstance, Advised: true}
 		if step.Gang {
 			w.Gang = step.Count
--- a/quota/random_test.go
+++ b/quota/random_test.go
@@ -187,7 +187,8 @@
 	const need = minCap / 10
 	for end := s.now.Add(idleLimit); s.now.Before(end); {
 		for _, o := range wanting {
-			for s.running() < enough && s.startTask(t, o, need) {
+			for started := true; started && s.running() < enough; {
+				started = s.startTask(t, o, need)
 			}
 			o.want(s.newestCap())
 		}
