Start serving tasks again whose runs have ended as done

Cause: the end as done of any run made its task done, which is final.

Now such an end returns the task for its next start, as a lapsed run does; a gang is stopped and starts again together. A task whose run has ended within 5 s waits for 0.25 s, doubled each time up to 2 s, so that one that ends at once is neither started without a pause nor away for the 6 s that the rule allows. Estimates of durations do not learn from these runs. In progress that an earlier version has stored, serving tasks that count as done are pending again; a job that it has closed as completed cannot be had back.

In the soak, tasks of some jobs now end so.

--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -107,6 +107,9 @@
 	if reason := s.explainHold(now, t, tasks); reason != "" {
 		return reason
 	}
+	if restartPaused([]waitingTask{t}, now) {
+		return fmt.Sprintf("%d tasks wait for their next start, after a run that has ended soon as done", tasks)
+	}
 	workers := s.usableWorkers(now)
 	labelled, permitted, apart, fitting, open := 0, 0, 0, 0, 0
 	var most pointport.Shape
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -125,7 +125,7 @@
 	for n := 0; n < len(e.ready); {
 		group := gangOf(e.ready[n:])
 		n += len(group)
-		if !p.scheduler.mayPlace(group[0]) {
+		if !p.scheduler.mayPlace(group[0]) || restartPaused(group, p.now) {
 			continue
 		}
 		if !p.withinCap(group) {
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -168,7 +168,7 @@
 	}
 	switch end.Kind {
 	case pointport.EndDone:
-		s.runDone(now, r)
+		s.runEndedAsDone(now, r)
 	case pointport.EndFailed:
 		s.runFailed(now, r)
 	default:
@@ -278,6 +278,16 @@
 	s.endJobIfDone(now, e)
 }
 
+// runEndedAsDone handles the end as done of the current run of a task.
+func (s *Scheduler) runEndedAsDone(now time.Time, r *Run) {
+	if r.step().Service {
+		s.servingRunDone(now, r)
+		return
+	}
+	s.runDone(now, r)
+}
+
+// runDone handles the end as done of a run of a task that is done by it.
 func (s *Scheduler) runDone(now time.Time, r *Run) {
 	if !r.liveAt.IsZero() && !r.inherited && r.from == 0 {
 		s.estimates.observe(r.entry.job.Queue(), r.step(), now.Sub(r.liveAt))
--- a/soak/customer_test.go
+++ b/soak/customer_test.go
@@ -38,6 +38,7 @@
 	queue           *workload.Queue
 	spec            *workload.Spec
 	crashes         bool // whether its first task crashes the instance that starts it
+	endsAsDone      bool // whether its serving tasks end as done after servingTime, again and again
 	outcome         outcome
 	cancelRequested bool // whether its customer has requested a cancellation
 	cancelled       bool // whether the cancellation was confirmed
@@ -85,6 +86,9 @@
 	}
 	step := &t.spec.Steps[ref.Step]
 	w := testbed.Work{Reservation: step.Reservation(), Duration: step.Estimate, Service: step.Service, Label: step.Label, MaxPerInstance: step.MaxPerInstance}
+	if t.endsAsDone {
+		w.DoneAfter = servingTime
+	}
 	w.Crashes = t.crashes && ref == workload.TaskRef{}
 	w.Checkpoint = checkpointText(id)
 	for _, a := range step.After {
@@ -138,6 +142,13 @@
 	return s.fleetFaults && err == nil && n%crashEvery == 0 && !t.spec.RunsUntilCancelled()
 }
 
+const (
+	// servingTime is how long serving tasks serve of jobs whose tasks end as done.
+	servingTime = 3 * time.Second
+	// endsAsDoneEvery is how many jobs there are for each such one, in runs with cap faults.
+	endsAsDoneEvery = 3
+)
+
 // answerTimeout is how long customers wait for an answer.
 const answerTimeout = 3 * time.Second
 
@@ -240,6 +251,7 @@
 		queue := c.soak.queues[c.random.IntN(len(c.soak.queues))]
 		t := &submission{id: fmt.Sprintf("%016x", c.random.Uint64()), customer: c.name, queue: queue, spec: drawSpec(c.random)}
 		t.crashes = c.soak.crashesInstance(t)
+		t.endsAsDone = c.soak.servingTasksEnd && n%endsAsDoneEvery == 0
 		c.submit(ctx, t)
 		submitted, open = append(submitted, t), append(open, t)
 		recent := submitted[max(0, len(submitted)-5):]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,9 +75,11 @@
 	history     []string // injected faults and other events, printed with a failure
 	faultCount  int      // number of injected faults
 	fleetFaults bool     // whether the run has fleet faults
-	links       map[pointport.InstanceID]*proxy
-	catalog     *workload.Catalog
-	waves       int64
+	// servingTasksEnd reports whether the serving tasks of some jobs end as done by themselves.
+	servingTasksEnd bool
+	links           map[pointport.InstanceID]*proxy
+	catalog         *workload.Catalog
+	waves           int64
 }
 
 func (s *soak) fail(format string, args ...any) {
@@ -305,7 +307,7 @@
 	withFleetFaults            // also fleetFaults, and tasks that crash instances
 	withLinkFaults             // also linkFaults, slow clocks, a lagging list and brief crashes
 	withBatchFaults            // also ends of owners within batches
-	withCapFaults              // also changes of the first customer's cap
+	withCapFaults              // also changes of the first customer's cap, and serving tasks that end as done
 )
 
 // run runs one seed. Fleet faults and link faults have random sources of their own, so that
@@ -314,7 +316,7 @@
 	dir := t.TempDir()
 	r := rand.New(rand.NewPCG(seed, 0))
 	s := newSoak(t, r, dir)
-	s.fleetFaults = level >= withFleetFaults
+	s.fleetFaults, s.servingTasksEnd = level >= withFleetFaults, level >= withCapFaults
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
 	customerCtx, stop := context.WithCancel(context.Background())
--- a/testbed/gang.go
+++ b/testbed/gang.go
@@ -75,7 +75,6 @@
 		return
 	}
 	for _, m := range f.gangMembers(r) {
-		m.at.endRun(m.run, pointport.EndDone)
-		f.noteDone(m.run.TaskRun, m.at)
+		f.endAsDone(m.at, m.run, r.endsAt())
 	}
 }
--- a/testbed/incarnation.go
+++ b/testbed/incarnation.go
@@ -67,9 +67,12 @@
 	if !r.stopsAt.IsZero() {
 		return r.stopsAt
 	}
-	if r.work.Service || r.work.Crashes || r.workingSince.IsZero() {
+	if r.work.Crashes || r.workingSince.IsZero() || r.work.Service && r.work.DoneAfter == 0 {
 		return time.Time{}
 	}
+	if r.work.Service {
+		return r.workingSince.Add(serviceStartTime + r.work.DoneAfter)
+	}
 	left := r.work.Duration * time.Duration(fullProgress-r.initialProgress) / fullProgress
 	return r.workingSince.Add(left)
 }
@@ -135,14 +138,23 @@
 		i.endRun(r, pointport.EndFailed)
 		i.fleet.noteFailed(r.Task, i)
 	default:
-		i.endRun(r, pointport.EndDone)
-		i.fleet.noteDone(r.TaskRun, i)
+		i.fleet.endAsDone(i, r, r.endsAt())
 		i.fleet.finishGang(r)
 		return
 	}
 	i.fleet.breakGang(r)
 }
 
+// endAsDone ends a run as done at a time. A serving task is not done by that. The lock is held.
+func (f *Fleet) endAsDone(i *incarnation, r *run, at time.Time) {
+	i.endRun(r, pointport.EndDone)
+	if r.work.Service {
+		f.noteServingEnd(at, r)
+		return
+	}
+	f.noteDone(r.TaskRun, i)
+}
+
 // endRun removes a run and lists its end.
 func (i *incarnation) endRun(r *run, kind pointport.EndKind) {
 	delete(i.runs, r.Task)
--- a/testbed/work.go
+++ b/testbed/work.go
@@ -26,6 +26,8 @@
 	CrashAfter time.Duration
 	// Service makes the task run until it is stopped.
 	Service bool
+	// DoneAfter is how long a serving task serves until it ends as done by itself, zero if it never does.
+	DoneAfter time.Duration
 	// Copies allows several runs of the task at a time.
 	Copies bool
 	// Gang is how many tasks must be present before any of them works. Zero or one means that the
--- a/workload/progress_restore.go
+++ b/workload/progress_restore.go
@@ -65,17 +65,25 @@
 			return nil, err
 		}
 	}
-	o.reviewGivenUp(j.spec)
+	o.reviewServingTasks(j.spec)
 	return o, nil
 }
 
-// reviewGivenUp makes the serving tasks pending again that an earlier version of the program has
-// given up. It counted crashes of instances on which they were at work.
-func (o *Occurrence) reviewGivenUp(spec *Spec) {
+// reviewServingTasks makes the serving tasks pending again that an earlier version of the program has
+// given up, because it counted crashes of instances on which they were at work, or that it has counted as
+// done when a run ended so.
+func (o *Occurrence) reviewServingTasks(spec *Spec) {
 	for n, step := range o.Steps {
+		if !spec.Steps[n].Service {
+			continue
+		}
 		for i := range step {
-			if t := &step[i]; spec.Steps[n].Service && t.Phase == GivenUp && t.StartCrashes == 0 {
+			switch t := &step[i]; {
+			case t.Phase == GivenUp && t.StartCrashes == 0:
+				t.Phase, t.On = Pending, ""
+			case t.Phase == Done:
 				t.Phase, t.On = Pending, ""
+				o.left[n]++
 			}
 		}
 	}
--- a/workload/serving_crash_test.go
+++ b/workload/serving_crash_test.go
@@ -99,3 +99,22 @@
 	}
 	return decoded
 }
+
+// Guards against serving tasks that an earlier version has counted as done and that stay away under this one.
+func TestServingTaskDoneInEarlierVersionIsPending(t *testing.T) {
+	stored := `{"n":1,"k":[{"k":0,"s":[[[2,4],[1,7,0,"i-1"]]]}]}`
+	j := servingJob()
+	if err := j.RestoreProgress([]byte(stored)); err != nil {
+		t.Fatal(err)
+	}
+	ref := workload.TaskRef{}
+	if got := j.Task(ref); got.Phase != workload.Pending || got.Run != 4 {
+		t.Errorf("the task is decoded in phase %d with run %d, want it pending with run 4", got.Phase, got.Run)
+	}
+	if got := j.Occurrence(0).Remaining(0); got != 2 {
+		t.Errorf("%d tasks of the step are left, want 2", got)
+	}
+	if got := restored(t, j).Task(ref).Phase; got != workload.Pending {
+		t.Errorf("the task is stored in phase %d, want it pending", got)
+	}
+}
