Count jobs as waiting until an instance has started a task of them

A job counted as begun once a task of it was placed, and a refused start does not take that back. Now it waits until an answer or a report shows a run of it; a new owner goes by the stored progress and by reports.

TestJobsWhoseStartsAreRefusedAreWaiting fails before the change.

--- a/schedule/report.go
+++ b/schedule/report.go
@@ -80,8 +80,15 @@
 	r.inherited = r.state == runInherited
 	r.state, r.liveAt = runLive, now
 	r.liveClock, r.reportClock = clock, clock
-	if !r.entry.begun && !r.inherited {
-		r.entry.begun = true
+	s.noteBegun(now, r)
+}
+
+// noteBegun records that a run of a job has started. The first one is logged, unless an earlier owner has
+// started it.
+func (s *Scheduler) noteBegun(now time.Time, r *Run) {
+	before := r.entry.begun
+	r.entry.begun = true
+	if !before && !r.inherited {
 		event.JobBegun.Log(s.logger, slog.String("job", r.entry.job.ID()), slog.String("task", r.name), slog.Int("run", r.number),
 			slog.String("incarnation", string(r.worker.inc.ID())), slog.Duration("after", now.Sub(r.entry.job.FirstSubmitted())))
 	}
@@ -157,6 +164,7 @@
 	event.RunEnded.Log(s.logger, slog.String("task", r.name), slog.Int("run", r.number),
 		slog.String("incarnation", string(w.inc.ID())), slog.String("how", string(end.Kind)),
 		slog.Duration("after", now.Sub(r.placedAt)), slog.Duration("startedAfter", r.startedAfter()))
+	s.noteBegun(now, r)
 	r.markListed()
 	if r.detached() {
 		s.removeRun(now, r)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -205,7 +205,7 @@
 	if _, ok := s.endedJobs.get(j.ID()); ok {
 		return false
 	}
-	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.Begun(), begunStored: j.Begun()}
+	e := &entry{job: j, account: s.accountOf(j.Customer()), runs: make(map[workload.TaskRef]*Run), begun: j.HasStarted(), begunStored: j.Begun()}
 	s.jobs[j.ID()] = e
 	if !j.Begun() && j.Spec().Recur.Times == 0 && !e.account.atCap() {
 		s.arrivals.add(now, j, s.estimates)
@@ -351,11 +351,12 @@
 	return "", false
 }
 
-// Waiting returns how many jobs of a queue have not begun.
+// Waiting returns how many jobs of a queue have not begun, as far as is known: a job whose tasks were placed
+// waits until an instance is seen to have started one, since starts may be refused.
 func (s *Scheduler) Waiting(queue string) int {
 	n := 0
 	for _, e := range s.jobs {
-		if e.job.Queue() == queue && !e.job.Begun() && !e.job.Stopping() {
+		if e.job.Queue() == queue && !e.begun && !e.job.Stopping() {
 			n++
 		}
 	}
--- a/workload/job.go
+++ b/workload/job.go
@@ -366,6 +366,27 @@
 	return false
 }
 
+// HasStarted reports whether the progress shows that an instance has started a task of the job. A task that
+// was only given to one may not have started there.
+func (j *Job) HasStarted() bool {
+	if j.completed > 0 {
+		return true
+	}
+	for _, o := range j.occurrences {
+		for _, step := range o.Steps {
+			if slices.ContainsFunc(step, func(t Task) bool { return t.hasStarted() }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasStarted reports whether the state of the task shows that an instance has started it.
+func (t *Task) hasStarted() bool {
+	return t.Phase == Done || t.Failures > 0 || t.Crashes > 0 || t.Confirmed > 0 || t.Checkpoint != ""
+}
+
 // A TaskRef identifies a task within its job.
 type TaskRef struct {
 	Occurrence, Step, Index int
