--- a/shard/advice.go
+++ b/shard/advice.go
@@ -94,33 +94,35 @@
 	o.adviceCalls++
 	go func() {
 		defer o.enqueue(func(time.Time) { o.adviceCalls-- })
-		var request schedule.AdviceRequest
-		var asked time.Time
+		var next chosenRequest
 		choose := func() (pointport.AdviceQuery, bool) {
-			var ok bool
-			request, asked, ok = o.nextAdviceRequest()
-			return request.Query(), ok
+			next = o.chooseAdviceRequest(ctx)
+			return next.Query(), next.found
 		}
 		o.advisor.advise(ctx, choose, func(answer pointport.Advice, err error) {
-			o.enqueue(func(now time.Time) { o.scheduler.AdviceAnswered(request, asked, now, answer, err) })
+			o.enqueue(func(now time.Time) { o.scheduler.AdviceAnswered(next.AdviceRequest, next.at, now, answer, err) })
 		})
 	}()
 }
 
-// nextAdviceRequest asks the loop for the next request. It returns false if there is none or the owner has
-// ended.
-func (o *Owner) nextAdviceRequest() (request schedule.AdviceRequest, asked time.Time, ok bool) {
-	chosen := make(chan func(), 1)
-	o.enqueue(func(now time.Time) {
-		next, found := o.scheduler.NextAdviceRequest(now, o.adviceFigures)
-		chosen <- func() { request, asked, ok = next, now, found }
+// A chosenRequest is the request that an owner sends in its turn, if it has found one, and when it was chosen.
+type chosenRequest struct {
+	schedule.AdviceRequest
+	at    time.Time
+	found bool
+}
+
+// chooseAdviceRequest asks the loop for the next request. None is found if the owner has ended.
+func (o *Owner) chooseAdviceRequest(ctx context.Context) chosenRequest {
+	next, err := query(ctx, o, func() chosenRequest {
+		now := o.clock.Now()
+		request, found := o.scheduler.NextAdviceRequest(now, o.adviceFigures)
+		return chosenRequest{request, now, found}
 	})
-	select {
-	case set := <-chosen:
-		set()
-	case <-o.done:
+	if err != nil {
+		return chosenRequest{}
 	}
-	return request, asked, ok
+	return next
 }
 
 // adviceLogInterval is the least time between two log lines about a missing advisor.
