Serving tasks that end as done soon start every 2 s, not 2 s later

The time counts from the former start now, so a task that has run for 2 s starts at once; one that ends at once is still started every 2 s at most.

TestServingTaskThatEndsAtOnceIsStartedAfterPause wants a start at once after 3 s of service now, where it had 30 s; it fails before the change.

--- a/schedule/restart.go
+++ b/schedule/restart.go
@@ -9,21 +9,15 @@
 // This file defines how serving tasks are started again after a run has ended as done. Only the cancellation of
 // its job ends a serving task, so such an end is not final.
 
-const (
-	// settledRun is how long a run of a serving task must have run so that the task is started again
-	// without a pause.
-	settledRun = 5 * time.Second
-	// minRestartPause and maxRestartPause bound the pause before the next start of a serving task whose
-	// run has ended sooner. It doubles with each further one. The platform counts a serving task as lost
-	// after 6 s without a run.
-	minRestartPause = 250 * time.Millisecond
-	maxRestartPause = 2 * time.Second
-)
+// minStartInterval and maxStartInterval bound the time between two starts of a serving task whose run has
+// ended within maxStartInterval. The time doubles with each further such run. The platform counts a serving
+// task as lost after 6 s without a run.
+const minStartInterval, maxStartInterval = 250 * time.Millisecond, 2 * time.Second
 
-// A restart is a pause before the next start of a serving task.
+// A restart says when a serving task may start again.
 type restart struct {
-	pause time.Duration
-	until time.Time
+	interval time.Duration // since the former start
+	at       time.Time
 }
 
 // servingRunDone handles the end as done of a run of a serving task, which is started again.
@@ -32,24 +26,28 @@
 	s.drop(now, r, "a serving task has ended as done")
 }
 
-// pauseRestart sets the pause before the next start of a serving task whose run has ended.
+// pauseRestart sets when a serving task whose run has ended may start again.
 func (e *entry) pauseRestart(r *Run, now time.Time) {
-	if !r.liveAt.IsZero() && now.Sub(r.liveAt) >= settledRun {
+	started := r.placedAt
+	if !r.liveAt.IsZero() {
+		started = r.liveAt
+	}
+	if now.Sub(started) >= maxStartInterval {
 		delete(e.restarts, r.ref)
 		return
 	}
 	if e.restarts == nil {
 		e.restarts = make(map[workload.TaskRef]restart)
 	}
-	pause := min(max(2*e.restarts[r.ref].pause, minRestartPause), maxRestartPause)
-	e.restarts[r.ref] = restart{pause: pause, until: now.Add(pause)}
+	interval := min(max(2*e.restarts[r.ref].interval, minStartInterval), maxStartInterval)
+	e.restarts[r.ref] = restart{interval: interval, at: started.Add(interval)}
 }
 
-// restartPaused reports whether some tasks that are placed together should not start yet, because a run of
-// one of them has ended soon after its start.
+// restartPaused reports whether some tasks that are placed together may not start again yet, because a run
+// of one of them has ended soon after its start.
 func restartPaused(group []waitingTask, now time.Time) bool {
 	for _, t := range group {
-		if now.Before(t.entry.restarts[t.ref].until) {
+		if now.Before(t.entry.restarts[t.ref].at) {
 			return true
 		}
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -53,7 +53,7 @@
 	// stalled counts the runs of a task that were stopped because they made no progress or were too
 	// slow.
 	stalled map[workload.TaskRef]int
-	// restarts holds the pauses before the next start of serving tasks that have ended as done.
+	// restarts holds when serving tasks that have ended as done soon after their start may start again.
 	restarts map[workload.TaskRef]restart
 	// avoidUntil holds until when a failed task is not placed again on the instance on which it
 	// failed.
--- a/schedule/serving_done_test.go
+++ b/schedule/serving_done_test.go
@@ -94,9 +94,9 @@
 	later := start.Add(time.Minute)
 	all := orders(s, later)
 	acceptAndReport(s, later, all)
-	later = later.Add(30 * time.Second)
+	later = later.Add(3 * time.Second)
 	endAll(s, later, all, number+1)
 	if got := startedTasks(orders(s, later)); len(got) != 1 {
-		t.Errorf("starts %v after 30 s of service, want the task at once", got)
+		t.Errorf("starts %v after 3 s of service, want the task at once", got)
 	}
 }
