--- a/testbed/crash.go
+++ b/testbed/crash.go
@@ -91,6 +91,11 @@
 // crash ends a machine's current incarnation as Crash does. The lock is held.
 func (f *Fleet) crash(m *Machine, down time.Duration) {
 	f.disturb()
+	if m.current != nil {
+		for task := range m.current.runs {
+			f.lostToCrashes[task]++
+		}
+	}
 	f.endIncarnation(m)
 	m.state = pointport.MachineDown
 	if down > 0 {
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -76,6 +76,7 @@
 	stoppedServices     map[string]bool                  // serving tasks that were stopped and are not serving again yet
 	crashes             map[string]int                   // by task, how many instances it has crashed
 	lostToInjectedCrash map[string]bool                  // tasks that had a run on an instance when Crash was called for it
+	lostToCrashes       map[string]int                   // by task, how many of its runs were lost when their instance crashed
 	startsAfterCrashes  map[string]int                   // by task, its starts after maxCrashes crashes
 	failedEnds          map[string][]*failedEnd          // by task
 	excessStarts        []excessStart                    // starts of tasks that have used up their failed runs
@@ -115,7 +116,7 @@
 		maintainedFor: make(map[pointport.InstanceID][]int64), lastWave: make(map[pointport.InstanceID]int64), waveBounds: make(map[int64]int),
 		cancelled: make(map[string]acknowledgedCancellation), checkpoints: make(map[string]map[string]bool),
 		evacuatedSince: make(map[pointport.ZoneID]time.Time), startsIn: make(map[pointport.ZoneID]int),
-		stoppedServices: make(map[string]bool), crashes: make(map[string]int), lostToInjectedCrash: make(map[string]bool), startsAfterCrashes: make(map[string]int), failedEnds: make(map[string][]*failedEnd),
+		stoppedServices: make(map[string]bool), crashes: make(map[string]int), lostToInjectedCrash: make(map[string]bool), lostToCrashes: make(map[string]int), startsAfterCrashes: make(map[string]int), failedEnds: make(map[string][]*failedEnd),
 		serving:  servingTasks{away: make(map[string]*awayTask), cancelRequested: make(map[string]bool), ordersDisturb: true},
 		accepted: acceptedJobs{byID: make(map[string]*acceptedJob), caps: make(map[string]pointport.Shape)},
 	}
--- a/testbed/idle_job.go
+++ b/testbed/idle_job.go
@@ -98,7 +98,8 @@
 }
 
 // shouldRun reports whether something of a job should run now, although nothing does. A job of which a task
-// has failed or crashed its instance need not: it may have failed, or wait on purpose. The lock is held.
+// has failed or crashed its instance need not: it may have failed, or wait on purpose. Nor need one of which a
+// task was lost so often that the platform may have given it up. The lock is held.
 func (f *Fleet) shouldRun(j *acceptedJob) bool {
 	if _, cancelled := f.cancelled[j.id]; cancelled || f.serving.cancelRequested[j.id] || f.troubled(j) {
 		return false
@@ -110,9 +111,12 @@
 	return f.isUnderHalfOfCap(j.customer) && f.isUnderHalfOfPool(j.pool) && f.hasRoomTwice(j, step)
 }
 
-// troubled reports whether a task of a job has failed or crashed its instance. The lock is held.
+// troubled reports whether a task of a job has failed, crashed its instance or was lost in maxCrashes crashes.
+// The lock is held.
 func (f *Fleet) troubled(j *acceptedJob) bool {
-	return slices.ContainsFunc(j.tasks(), func(task string) bool { return f.crashes[task] > 0 || len(f.failedEnds[task]) > 0 })
+	return slices.ContainsFunc(j.tasks(), func(task string) bool {
+		return f.crashes[task] > 0 || len(f.failedEnds[task]) > 0 || f.lostToCrashes[task] >= maxCrashes
+	})
 }
 
 // tasks returns the names of all tasks of a job.
