A pool stays while tasks are held back that a former owner may have started

Callers would see jobs that go on only after half a minute.

Cause: after all owners were killed nobody can say whether a former owner, which may have relied on peer leases, had started tasks without storing that. A pool already stays while runs wait for proof that they have ended (AwaitsProof); this wait was left out.

Change: AwaitsProof covers tasks that are held back. As before, a pool stays for 30 s at most.

Not mended: an owner that is stopped or ends during the wait leaves it to the next one, which begins it anew.

--- a/schedule/away.go
+++ b/schedule/away.go
@@ -53,7 +53,7 @@
 		since = now
 	}
 	s.awayCheckedAt, s.awayLines = now, 0
-	s.awaitsProof = s.anyUnprovenRun()
+	s.awaitsProof = s.HoldsBack() || s.anyUnprovenRun()
 	for e := range s.serving {
 		if e.ended == "" && !e.job.Stopping() {
 			s.checkAwayTasks(now, since, e)
@@ -61,8 +61,8 @@
 	}
 }
 
-// AwaitsProof reports whether tasks waited for proof that their last run has ended when that was last
-// checked.
+// AwaitsProof reports whether tasks waited for proof that their last run has ended, or that they have no
+// run that the previous owner left unrecorded, when that was last checked.
 func (s *Scheduler) AwaitsProof() bool { return s.awaitsProof }
 
 // anyUnprovenRun reports whether any run may or may not go on, because its instance does not answer.
--- a/schedule/away_test.go
+++ b/schedule/away_test.go
@@ -91,3 +91,21 @@
 	s.EndIncarnation(start.Add(2*time.Second), incarnation(0).ID())
 	check(3*time.Second, false)
 }
+
+// Guards against a pool that is handed over while tasks are held back that the previous owner may have started,
+// so that the wait begins anew and jobs stand still for longer than they may.
+func TestTasksHeldBackAwaitProof(t *testing.T) {
+	s := newSuccessor()
+	s.Add(start, begunJob("a", policy, step(1, 100, nil)))
+	registerIdle(s, start, incarnation(0))
+	readable(s, start, expired)
+	orders(s, start)
+	if !s.AwaitsProof() {
+		t.Error("awaits no proof while tasks are held back")
+	}
+	orders(s, expired) // ends the hold
+	orders(s, expired.Add(time.Second))
+	if s.HoldsBack() || s.AwaitsProof() {
+		t.Errorf("holds back %t, awaits proof %t after the wait, want neither", s.HoldsBack(), s.AwaitsProof())
+	}
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -130,7 +130,7 @@
 	// occurrences, serving those with serving tasks until their end is stored.
 	waitingJobs, recurring, serving map[*entry]struct{}
 	// awayCheckedAt is when serving tasks were last checked for absences, awayLines how many were
-	// logged then, and awaitsProof whether tasks waited for proof that a run has ended.
+	// logged then, and awaitsProof whether tasks waited for proof that no run of theirs goes on.
 	awayCheckedAt time.Time
 	awayLines     int
 	awaitsProof   bool
--- a/shard/owner_load.go
+++ b/shard/owner_load.go
@@ -71,8 +71,8 @@
 // member should own the pool.
 func (o *Owner) ShouldHandOver() bool { return o.publishedShouldHandOver.Load() }
 
-// DefersHandOver reports whether tasks wait for proof that their last run has ended. A new owner begins
-// this wait anew, which takes longer than a task may be away.
+// DefersHandOver reports whether tasks wait for proof that no run of theirs goes on. A new owner begins this
+// wait anew, which takes longer than a task may be away.
 func (o *Owner) DefersHandOver() bool { return o.publishedDefersHandOver.Load() }
 
 // Load returns the owner's load.
