--- /dev/null
+++ b/review/stand3/cases.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"strings"
+	"time"
+)
+
+// This file defines the cases and the checks that they share.
+
+// A caseOf is a case: its deployment and its play, which returns the exit code.
+type caseOf struct {
+	settings bedSettings
+	play     func(*bed) int
+}
+
+var cases = map[string]caseOf{
+	"gang-retired":    {onePool, gangRetired},
+	"gang-checkpoint": {onePool, gangCheckpoint},
+	"crashed-thrice":  {onePool, crashedThrice},
+	"advised-retired": {bedSettings{entries: 4, pools: []string{"floor-app"}, machines: 8, spare: 8, mayRun: inSecondRack}, advisedRetired},
+}
+
+// onePool is a deployment with one pool.
+var onePool = bedSettings{entries: 4, pools: []string{"floor-app"}, machines: 8, spare: 8}
+
+// settle is the time from the start of the machines until traffic starts.
+const settle = 6 * time.Second
+
+// checkStart records what a start breaks in any case. The lock is held.
+func (b *bed) checkStart(at *life, r *run, o order) {
+	if most := r.step.AntiAffinity; most > 0 {
+		for task := range at.runs {
+			if gangName(task) == gangName(r.task) {
+				most--
+			}
+		}
+		if most <= 0 {
+			b.record("ROUTE %s run %d starts on %s beyond anti_affinity", r.task, r.number, at.machine.name)
+		}
+	}
+	if o.Spec != "spec of "+r.job.id {
+		b.record("UNASKED %s run %d starts with another task_spec", r.task, r.number)
+	}
+	if r.job.noted[r.task] {
+		b.record("TWICE %s run %d starts after its end as done was taken note of", r.task, r.number)
+	}
+	for _, m := range b.machines {
+		if m.life != nil && m.life != at && m.life.runs[r.task] != nil {
+			b.record("TWICE %s run %d starts on %s while run %d is on %s", r.task, r.number, at.machine.name, m.life.runs[r.task].number, m.name)
+		}
+	}
+}
+
+// hostsOf returns the machines that run units of a job.
+func (b *bed) hostsOf(j *job) []*machine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*machine
+	for _, m := range b.machines {
+		if m.life == nil {
+			continue
+		}
+		for task := range m.life.runs {
+			if strings.HasPrefix(task, j.id+".") {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// endsOf returns how many runs of a job have ended in a way since a time.
+func (b *bed) endsOf(j *job, how string, since time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.ends {
+		if e.how == how && e.at.After(since) && strings.HasPrefix(e.task, j.id+".") {
+			n++
+		}
+	}
+	return n
+}
+
+// working reports whether all units of a gang work.
+func (b *bed) working(j *job) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, m := range b.machines {
+		if m.life == nil {
+			continue
+		}
+		for task, r := range m.life.runs {
+			if strings.HasPrefix(task, j.id+".") && !r.works.IsZero() {
+				n++
+			}
+		}
+	}
+	return n == j.steps[0].Count
+}
+
+// A gangPlay is a play in which a runner crashes under gangs.
+type gangPlay struct {
+	jobs []*job
+	// calm is from when no impairment is near.
+	calm time.Time
+}
+
+// crashUnderGangs hands gangs in, crashes one runner under them once they have saved progress, and asks
+// for the jobs until all are done, or for 60 s. It returns nil if that could not be played.
+func crashUnderGangs(b *bed, n int, s step) *gangPlay {
+	time.Sleep(settle)
+	p := &gangPlay{}
+	for i := range n {
+		j := b.newJob("floor-app", s)
+		if !b.submit(j, i) {
+			return nil
+		}
+		p.jobs = append(p.jobs, j)
+		if !eventually(10*time.Second, func() bool { return b.working(j) }) {
+			return nil
+		}
+	}
+	time.Sleep(3600 * time.Millisecond)
+	const down = 4500 * time.Millisecond
+	if b.trouble {
+		b.hostsOf(p.jobs[0])[0].crash(down)
+	}
+	p.calm = time.Now().Add(down + contactTime + gangTime)
+	open := p.jobs
+	for end := time.Now().Add(60 * time.Second); len(open) > 0 && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		var left []*job
+		for _, j := range open {
+			if b.ask(j) != "completed" {
+				left = append(left, j)
+			}
+		}
+		open = left
+	}
+	return p
+}
+
+// gangCheckpoint: a runner crashes under gangs that save their progress. They start again, and
+// every member must bring the same saved progress.
+func gangCheckpoint(b *bed) int {
+	p := crashUnderGangs(b, 2, step{Count: 3, CPU: 8800, Memory: 1300, EstimatedMS: 8000, Checkpointing: true, Gang: true, Work: 8 * time.Second})
+	if p == nil {
+		return exitNotRun
+	}
+	broken := false
+	for _, j := range p.jobs {
+		alone := b.endsOf(j, "alone", p.calm)
+		b.record("job %s is %s; %d starts of its gang brought different saved progress; %d runs ended alone in calm time", j.id, j.state, j.mismatches, alone)
+		if alone > 0 && j.mismatches > 0 && j.state != "completed" {
+			b.record("GANG  broken by job %s, which is never done", j.id)
+			broken = true
+		}
+	}
+	if broken {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// gangRetired: a runner crashes under gangs whose members must be on different runners. The other
+// runners are idle then, and there are twice as many as a gang needs.
+func gangRetired(b *bed) int {
+	p := crashUnderGangs(b, 3, step{Count: 4, CPU: 1900, Memory: 2700, EstimatedMS: 8000, Gang: true, AntiAffinity: 1, Work: 8 * time.Second})
+	if p == nil {
+		return exitNotRun
+	}
+	broken := false
+	for _, j := range p.jobs {
+		idle := b.idleSince(j, p.calm)
+		b.record("job %s is %s; it had nothing running for the last %v", j.id, j.state, idle.Round(time.Millisecond))
+		if j.state != "completed" && idle > 20*time.Second {
+			b.record("LOST  broken by job %s: its turn has come, and nothing of it runs", j.id)
+			broken = true
+		}
+	}
+	b.recordMachines()
+	if broken {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// idleSince returns for how long a job has had nothing running, from a time on.
+func (b *bed) idleSince(j *job, from time.Time) time.Duration {
+	if len(b.hostsOf(j)) > 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.ends {
+		if strings.HasPrefix(e.task, j.id+".") && e.at.After(from) {
+			from = e.at
+		}
+	}
+	return time.Since(from)
+}
+
+// recordMachines records where the machines are and how much of each is in use.
+func (b *bed) recordMachines() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.machines {
+		cpu := 0
+		if m.life != nil {
+			for _, r := range m.life.runs {
+				cpu += r.step.CPU
+			}
+		}
+		b.record("%s is in pool %s, %s, with %d of %d cpu in use", m.name, m.pool, m.state, cpu, machineCPU)
+	}
+}
+
+// crashedThrice: the runner of a job's only work unit crashes three times.
+func crashedThrice(b *bed) int {
+	time.Sleep(settle)
+	j := b.newJob("floor-app", step{Count: 1, CPU: 1900, Memory: 2700, EstimatedMS: 12000, Work: 12 * time.Second})
+	if !b.submit(j, 0) {
+		return exitNotRun
+	}
+	for range 3 {
+		if !b.trouble {
+			break
+		}
+		var hosts []*machine
+		if !eventually(15*time.Second, func() bool { hosts = b.hostsOf(j); return len(hosts) > 0 }) {
+			break
+		}
+		time.Sleep(4 * time.Second)
+		hosts[0].crash(4500 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+	}
+	eventually(45*time.Second, func() bool {
+		time.Sleep(300 * time.Millisecond)
+		s := b.ask(j)
+		return s == "completed" || s == "failed" || s == "410"
+	})
+	failures := b.endsOf(j, "failed", time.Time{})
+	b.record("job %s is %s; %d of its runs ended failed; nobody has cancelled it", j.id, j.state, failures)
+	if j.state == "failed" && failures == 0 {
+		b.record("LOST  broken: the job is shown as failed without cause")
+		return exitBroken
+	}
+	if j.state != "completed" {
+		return exitNotRun
+	}
+	return exitHeld
+}
+
+// inSecondRack is a policy that lets only the second rack run a step.
+func inSecondRack(_ string, m *machine) bool { return m.rack == "r1-1" }
+
+// advisedRetired: the runner of a job's only work unit is lost for good. Others may run it, by the policy of
+// its queue.
+func advisedRetired(b *bed) int {
+	time.Sleep(settle)
+	j := b.newJob("floor-app", step{Count: 1, CPU: 1900, Memory: 2700, EstimatedMS: 8000, Work: 8 * time.Second})
+	if !b.submit(j, 0) {
+		return exitNotRun
+	}
+	var hosts []*machine
+	if !eventually(15*time.Second, func() bool { hosts = b.hostsOf(j); return len(hosts) > 0 }) {
+		return exitNotRun
+	}
+	time.Sleep(5 * time.Second)
+	if b.trouble {
+		hosts[0].crash(0)
+	}
+	calm := time.Now().Add(contactTime + 3*heartbeat)
+	for end := time.Now().Add(60 * time.Second); b.ask(j) != "completed" && time.Now().Before(end); {
+		time.Sleep(500 * time.Millisecond)
+	}
+	idle := b.idleSince(j, calm)
+	b.recordMachines()
+	b.record("job %s is %s; it had nothing running for the last %v", j.id, j.state, idle.Round(time.Millisecond))
+	if j.state != "completed" && idle > 20*time.Second {
+		b.record("LOST  broken by job %s", j.id)
+		return exitBroken
+	}
+	return exitHeld
+}
