--- a/review/stand3/bed.go
+++ b/review/stand3/bed.go
@@ -160,9 +160,11 @@
 	changed  chan struct{} // closed when something that a poll waits for has changed
 	closed   bool
 	boots    int
-	mayRun   func(step string, m *machine) bool
-	tickets  map[string]ticket
-	clients  *http.Client
+	// listReads counts the readings of the list of machines.
+	listReads int
+	mayRun    func(step string, m *machine) bool
+	tickets   map[string]ticket
+	clients   *http.Client
 }
 
 // newBed starts the stand-ins of the platform and of the runners.
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
+
+	"github.com/pointport/pointport"
 )
 
 // This file defines the cases and the checks that they share.
@@ -15,8 +20,7 @@
 
 var cases = map[string]caseOf{
 	"gang-retired":    {onePool, gangRetired},
-	"gang-checkpoint": {onePool, gangCheckpoint},
-	"crashed-thrice":  {onePool, crashedThrice},
+	"wave-of-new":     {onePool, waveOfNew},
 	"advised-retired": {bedSettings{entries: 4, pools: []string{"floor-app"}, machines: 8, spare: 8, mayRun: inSecondRack}, advisedRetired},
 }
 
@@ -70,19 +74,6 @@
 	return out
 }
 
-// endsOf returns how many runs of a job have ended in a way since a time.
-func (b *bed) endsOf(j *job, how string, since time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, e := range b.ends {
-		if e.how == how && e.at.After(since) && strings.HasPrefix(e.task, j.id+".") {
-			n++
-		}
-	}
-	return n
-}
-
 // working reports whether all units of a gang work.
 func (b *bed) working(j *job) bool {
 	b.mu.Lock()
@@ -142,28 +133,6 @@
 	return p
 }
 
-// gangCheckpoint: a runner crashes under gangs that save their progress. They start again, and
-// every member must bring the same saved progress.
-func gangCheckpoint(b *bed) int {
-	p := crashUnderGangs(b, 2, step{Count: 3, CPU: 8800, Memory: 1300, EstimatedMS: 8000, Checkpointing: true, Gang: true, Work: 8 * time.Second})
-	if p == nil {
-		return exitNotRun
-	}
-	broken := false
-	for _, j := range p.jobs {
-		alone := b.endsOf(j, "alone", p.calm)
-		b.record("job %s is %s; %d starts of its gang brought different saved progress; %d runs ended alone in calm time", j.id, j.state, j.mismatches, alone)
-		if alone > 0 && j.mismatches > 0 && j.state != "completed" {
-			b.record("GANG  broken by job %s, which is never done", j.id)
-			broken = true
-		}
-	}
-	if broken {
-		return exitBroken
-	}
-	return exitHeld
-}
-
 // gangRetired: a runner crashes under gangs whose members must be on different runners. The other
 // runners are idle then, and there are twice as many as a gang needs.
 func gangRetired(b *bed) int {
@@ -217,42 +186,6 @@
 	}
 }
 
-// crashedThrice: the runner of a job's only work unit crashes three times.
-func crashedThrice(b *bed) int {
-	time.Sleep(settle)
-	j := b.newJob("floor-app", step{Count: 1, CPU: 1900, Memory: 2700, EstimatedMS: 12000, Work: 12 * time.Second})
-	if !b.submit(j, 0) {
-		return exitNotRun
-	}
-	for range 3 {
-		if !b.trouble {
-			break
-		}
-		var hosts []*machine
-		if !eventually(15*time.Second, func() bool { hosts = b.hostsOf(j); return len(hosts) > 0 }) {
-			break
-		}
-		time.Sleep(4 * time.Second)
-		hosts[0].crash(4500 * time.Millisecond)
-		time.Sleep(500 * time.Millisecond)
-	}
-	eventually(45*time.Second, func() bool {
-		time.Sleep(300 * time.Millisecond)
-		s := b.ask(j)
-		return s == "completed" || s == "failed" || s == "410"
-	})
-	failures := b.endsOf(j, "failed", time.Time{})
-	b.record("job %s is %s; %d of its runs ended failed; nobody has cancelled it", j.id, j.state, failures)
-	if j.state == "failed" && failures == 0 {
-		b.record("LOST  broken: the job is shown as failed without cause")
-		return exitBroken
-	}
-	if j.state != "completed" {
-		return exitNotRun
-	}
-	return exitHeld
-}
-
 // inSecondRack is a policy that lets only the second rack run a step.
 func inSecondRack(_ string, m *machine) bool { return m.rack == "r1-1" }
 
@@ -285,3 +218,86 @@
 	}
 	return exitHeld
 }
+
+// waveOfNew: a machine is added, and a wave of it is asked for soon after.
+func waveOfNew(b *bed) int {
+	time.Sleep(settle)
+	name := b.machines[0].name
+	reads := b.readings()
+	if !eventually(5*time.Second, func() bool { return b.readings() > reads }) {
+		return exitNotRun // the system has not read the list of machines
+	}
+	if b.trouble {
+		m := newMachine(b, len(b.machines), "floor-app")
+		b.mu.Lock()
+		b.machines = append(b.machines, m)
+		b.mu.Unlock()
+		if err := m.boot(); err != nil {
+			return exitNotRun
+		}
+		name = m.name
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := b.askWave(1, 26, 1, name); err != nil {
+		return exitNotRun
+	}
+	early := false
+	eventually(20*time.Second, func() bool {
+		state, done := b.waveState(1), b.hadUpkeep(1, name)
+		if state == "completed" && !done && !early {
+			early = true
+			b.record("MIXED broken: the wave is said to be completed, and %s has not begun its upkeep", name)
+		}
+		return state == "completed" && done
+	})
+	b.record("wave 1 is %q, upkeep of %s begun: %v", b.waveState(1), name, b.hadUpkeep(1, name))
+	if early {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// readings returns how often the list of machines was read.
+func (b *bed) readings() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listReads
+}
+
+// askWave writes the request of a wave.
+func (b *bed) askWave(number, seconds, bound int, machines ...string) error {
+	value, err := json.Marshal(map[string]any{"wave": number, "machines": machines, "duration_s": seconds, "upper_bound": bound})
+	if err != nil {
+		return err
+	}
+	b.record("the operator asks for wave %d of %v", number, machines)
+	_, err = b.kv.Commit(context.Background(), pointport.Txn{Put: []pointport.Put{{Key: fmt.Sprintf("op/wave/%d", number), Value: value}}})
+	return err
+}
+
+// waveState returns the state of a wave as the operator reads it, empty if there is none.
+func (b *bed) waveState(number int) string {
+	item, err := b.kv.Get(context.Background(), fmt.Sprintf("status/wave/%d", number))
+	if err != nil || !item.Exists() {
+		return ""
+	}
+	var body struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(item.Value(), &body) != nil {
+		return "unreadable"
+	}
+	return body.State
+}
+
+// hadUpkeep reports whether a machine has begun its upkeep for a wave.
+func (b *bed) hadUpkeep(number int64, name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.machines {
+		if m.name == name {
+			return m.upkeepDone[number]
+		}
+	}
+	return false
+}
--- a/review/stand3/clients.go
+++ b/review/stand3/clients.go
@@ -23,21 +23,19 @@
 	Checkpointing bool `json:"checkpointing,omitempty"`
 	Gang          bool `json:"gang_scheduled,omitempty"`
 	AntiAffinity  int  `json:"anti_affinity,omitempty"`
-	Lasts         bool `json:"long_running,omitempty"`
 
 	Work time.Duration `json:"-"`
 }
 
 // A job is a job that a client has sent.
 type job struct {
-	id         string
-	pool       string
-	steps      []step
-	accepted   time.Time
-	state      string          // the last one that was answered
-	done       map[string]bool // the work units that have ended so
-	noted      map[string]bool // those of which last_seen has taken note
-	mismatches int
+	id       string
+	pool     string
+	steps    []step
+	accepted time.Time
+	state    string          // the last one that was answered
+	done     map[string]bool // the work units that have ended so
+	noted    map[string]bool // those of which last_seen has taken note
 }
 
 // newJob returns a job with an ID of its own.
--- a/review/stand3/cloud.go
+++ b/review/stand3/cloud.go
@@ -14,6 +14,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, _ *http.Request) {
 		b.mu.Lock()
+		b.listReads++
 		var rows []map[string]any
 		for _, m := range b.machines {
 			row := map[string]any{
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -399,7 +399,7 @@
 	for _, e := range l.ended {
 		if e.n > o.Seen {
 			kept = append(kept, e)
-		} else if j, st := b.unit(e.task); j != nil && e.how == "done" && !st.Lasts {
+		} else if j, _ := b.unit(e.task); j != nil && e.how == "done" {
 			j.noted[e.task] = true
 		}
 	}
@@ -427,11 +427,7 @@
 	running, ended := [][]any{}, [][]any{}
 	now := time.Now()
 	for _, r := range l.sorted() {
-		load := r.step.CPU
-		if r.step.Lasts {
-			load = 20
-		}
-		running = append(running, []any{r.task, r.number, r.saved(now), r.percent(now), load})
+		running = append(running, []any{r.task, r.number, r.saved(now), r.percent(now), r.step.CPU})
 	}
 	for n, e := range l.ended {
 		if n == 500 {
@@ -451,15 +447,9 @@
 }
 
 func (r *run) percent(now time.Time) int {
-	if r.step.Lasts {
-		return min(100, int(100*r.work(now)/startUp))
-	}
 	return int(100 * r.work(now) / max(r.step.Work, time.Millisecond))
 }
 
-// startUp is how long a work unit that lasts takes until it is at work.
-const startUp = 500 * time.Millisecond
-
 // saved returns the last saved progress: the work done in whole save intervals.
 func (r *run) saved(now time.Time) string {
 	if !r.step.Checkpointing {
@@ -511,7 +501,7 @@
 func (b *bed) noteEnd(now time.Time, l *life, r *run, how string) {
 	b.ends = append(b.ends, endSeen{now, r.task, r.number, l.machine.name, how})
 	b.record("end   %s run %d on %s %s", r.task, r.number, l.machine.name, how)
-	if how == "done" && !r.step.Lasts {
+	if how == "done" {
 		r.job.done[r.task] = true
 	}
 }
@@ -547,20 +537,12 @@
 	return out
 }
 
-// gather starts a gang at the moment at which all of one run are present. All must have brought the
-// same saved progress: members with another one have not come for this start.
+// gather starts a gang at the moment at which all of one run are present.
 func (b *bed) gather(now time.Time, r *run) {
 	all := b.members(r)
 	if len(all) < r.step.Count {
 		return
 	}
-	for _, m := range all {
-		if m.run.checkpoint != r.checkpoint {
-			b.record("gang  %s run %d: all are present, but one brought %q and another %q", gangName(r.task), r.number, m.run.checkpoint, r.checkpoint)
-			r.job.mismatches++
-			return
-		}
-	}
 	for _, m := range all {
 		m.run.works = now.Add(restore(r.checkpoint))
 	}
@@ -610,7 +592,7 @@
 			how = "stopped"
 		case r.step.Gang && r.works.IsZero() && now.Sub(r.arrived) > gangTime:
 			how = "alone"
-		case !r.works.IsZero() && !r.step.Lasts && r.work(now) >= r.step.Work:
+		case !r.works.IsZero() && r.work(now) >= r.step.Work:
 			how = "done"
 		case now.After(l.lease):
 			how = "lapsed"
