--- a/review/stand3/bed.go
+++ b/review/stand3/bed.go
@@ -163,8 +163,10 @@
 	// listReads counts the readings of the list of machines.
 	listReads int
 	mayRun    func(step string, m *machine) bool
-	tickets   map[string]ticket
-	clients   *http.Client
+	// leavesUnanswered reports whether a runner leaves a start unanswered; nil if none does.
+	leavesUnanswered func(*life, order) bool
+	tickets          map[string]ticket
+	clients          *http.Client
 }
 
 // newBed starts the stand-ins of the platform and of the runners.
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]caseOf{
 	"gang-retired":    {onePool, gangRetired},
+	"leaving-runner":  {onePool, leavingRunner},
 	"wave-of-new":     {onePool, waveOfNew},
 	"advised-retired": {bedSettings{entries: 4, pools: []string{"floor-app"}, machines: 8, spare: 8, mayRun: inSecondRack}, advisedRetired},
 }
@@ -219,6 +220,68 @@
 	return exitHeld
 }
 
+// The bounds and figures of leavingRunner.
+const (
+	drainTimeout = 2 * time.Second
+	// leaveAfter is how long a runner stays once it has said that it leaves: drainTimeout and a little longer.
+	leaveAfter = 4 * time.Second
+	// unansweredFor is how long the runner leaves the starts of one work unit unanswered.
+	unansweredFor = 2500 * time.Millisecond
+)
+
+// leavingRunner: a runner says that it leaves while it has left the start of a work unit unanswered. Without
+// the disruption it leaves all the same, and answers.
+func leavingRunner(b *bed) int {
+	time.Sleep(settle)
+	var late string // the work unit whose starts get no answer
+	var at *life
+	var first time.Time
+	unanswered, orders := 0, 0
+	b.mu.Lock()
+	b.leavesUnanswered = func(l *life, o order) bool {
+		orders++
+		if late == "" {
+			late, at, first = o.Task, l, time.Now()
+		}
+		if !b.trouble || l != at || o.Task != late || time.Since(first) > unansweredFor {
+			return false
+		}
+		unanswered++
+		b.record("%s leaves an order unanswered: start %s run %d", l.machine.name, o.Task, o.Run)
+		return true
+	}
+	b.mu.Unlock()
+	j := b.newJob("floor-app", step{Count: 12, CPU: 1900, Memory: 2700, EstimatedMS: 1700, Work: 1700 * time.Millisecond})
+	if !b.submit(j, 0) {
+		return exitNotRun
+	}
+	if !eventually(15*time.Second, func() bool { b.mu.Lock(); defer b.mu.Unlock(); return at != nil }) {
+		return exitNotRun
+	}
+	time.Sleep(300 * time.Millisecond)
+	said := at.machine.leave(leaveAfter)
+	eventually(40*time.Second, func() bool { return b.ask(j) == "completed" && time.Since(said) > leaveAfter+time.Second })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record("job %s is %s; %d of %d starts sent were left unanswered", j.id, j.state, unanswered, orders)
+	broken := false
+	for _, s := range b.starts {
+		if s.machine == at.machine.name && s.at.Sub(said) > drainTimeout {
+			b.record("DRAIN broken: %s run %d starts on %s %v after the store took that it leaves", s.task, s.number, s.machine, s.at.Sub(said).Round(time.Millisecond))
+			broken = true
+		}
+	}
+	for _, e := range b.ends {
+		if e.machine == at.machine.name && e.how == "lost" {
+			b.record("%s run %d was lost with %s", e.task, e.number, e.machine)
+		}
+	}
+	if broken {
+		return exitBroken
+	}
+	return exitHeld
+}
+
 // waveOfNew: a machine is added, and a wave of it is asked for soon after.
 func waveOfNew(b *bed) int {
 	time.Sleep(settle)
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -169,6 +169,30 @@
 	}()
 }
 
+// leave lets the runner say that it leaves, and end after a while. It returns the time at which the store
+// had taken that.
+func (m *machine) leave(after time.Duration) time.Time {
+	b := m.bed
+	b.mu.Lock()
+	life := m.life
+	life.draining = time.Now().Add(after)
+	b.mu.Unlock()
+	life.write()
+	said := time.Now()
+	b.record("%s (%s) says that it leaves, and has %v left; the store has taken that", m.name, life.id, after)
+	go func() {
+		time.Sleep(time.Until(life.draining))
+		b.mu.Lock()
+		b.record("%s (%s) leaves", m.name, life.id)
+		b.endLife(life)
+		m.shut()
+		b.mu.Unlock()
+		b.remove(life.id)
+		m.lost()
+	}()
+	return said
+}
+
 // lost removes the machine for good.
 func (m *machine) lost() {
 	b := m.bed
@@ -206,28 +230,33 @@
 
 // beat writes the runner's entry until its end.
 func (l *life) beat() {
-	for {
-		l.machine.bed.mu.Lock()
-		gone := l.gone
-		l.beats++
-		body := map[string]any{
-			"service": l.pool, "address": l.machine.address, "zone": l.machine.zone, "version": "4.1", "slots": 8, "state": "ready",
-			"cold_remaining_ms": 0, "call_sequence": l.beats, "machine": l.machine.name,
-			"capacity": map[string]int{"cpu": machineCPU, "memory_request_mb": machineMemoryMB, "gpu": 0}, "labels": []string{"a", l.machine.rack},
-		}
-		if !l.draining.IsZero() {
-			body["state"], body["remaining_ms"] = "draining", max(0, time.Until(l.draining).Milliseconds())
-		}
-		l.machine.bed.mu.Unlock()
-		if gone {
-			return
-		}
-		value, _ := json.Marshal(body) // it holds only text and numbers
-		_, _ = l.machine.bed.kv.Commit(context.Background(), pointport.Txn{Put: []pointport.Put{{Key: "servers/" + l.id, Value: value}}})
+	for l.write() {
 		time.Sleep(heartbeat)
 	}
 }
 
+// write writes the runner's entry. It returns false once the runner has ended.
+func (l *life) write() bool {
+	l.machine.bed.mu.Lock()
+	gone := l.gone
+	l.beats++
+	body := map[string]any{
+		"service": l.pool, "address": l.machine.address, "zone": l.machine.zone, "version": "4.1", "slots": 8, "state": "ready",
+		"cold_remaining_ms": 0, "call_sequence": l.beats, "machine": l.machine.name,
+		"capacity": map[string]int{"cpu": machineCPU, "memory_request_mb": machineMemoryMB, "gpu": 0}, "labels": []string{"a", l.machine.rack},
+	}
+	if !l.draining.IsZero() {
+		body["state"], body["remaining_ms"] = "draining", max(0, time.Until(l.draining).Milliseconds())
+	}
+	l.machine.bed.mu.Unlock()
+	if gone {
+		return false
+	}
+	value, _ := json.Marshal(body) // it holds only text and numbers
+	_, _ = l.machine.bed.kv.Commit(context.Background(), pointport.Txn{Put: []pointport.Put{{Key: "servers/" + l.id, Value: value}}})
+	return true
+}
+
 func (l *life) clock(at time.Time) int64 { return 400000 + at.Sub(l.bootAt).Milliseconds() }
 
 func (l *life) timeOf(clock int64) time.Time {
@@ -256,6 +285,23 @@
 	Wait       int64  `json:"wait_ms"`
 }
 
+// startPath is the path of the call that starts a work unit.
+const startPath = "/v1/run-start"
+
+// lateBy is how much later a runner carries out an order that it leaves unanswered. The pages have 2 to 12 s.
+const lateBy = 6 * time.Second
+
+// carryOutLate carries out a start that was left unanswered, if the runner is still there then.
+func (l *life) carryOutLate(o order) {
+	time.Sleep(lateBy)
+	l.machine.bed.mu.Lock()
+	defer l.machine.bed.mu.Unlock()
+	if !l.gone {
+		l.machine.bed.record("%s carries out an order late: start %s run %d", l.machine.name, o.Task, o.Run)
+		l.start(o)
+	}
+}
+
 // handler serves the calls to a runner.
 func (l *life) handler() http.Handler {
 	b := l.machine.bed
@@ -276,6 +322,12 @@
 				b.mu.Unlock()
 				panic(http.ErrAbortHandler)
 			}
+			if path == startPath && b.leavesUnanswered != nil && b.leavesUnanswered(l, o) {
+				b.mu.Unlock()
+				go l.carryOutLate(o)
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 			status, body := act(r.Context(), o) // unlocks
 			if body == nil {
 				body = make(map[string]any)
@@ -287,7 +339,7 @@
 			_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
 		})
 	}
-	serve("/v1/run-start", func(_ context.Context, o order) (int, map[string]any) { return l.start(o) })
+	serve(startPath, func(_ context.Context, o order) (int, map[string]any) { return l.start(o) })
 	serve("/v1/run-stop", func(_ context.Context, o order) (int, map[string]any) { return l.stop(o) })
 	serve("/v1/pace", func(context.Context, order) (int, map[string]any) { return http.StatusOK, nil })
 	serve("/v1/hold", l.hold)
